--- /dev/null
+++ b/attempter/attempter.go
@@ -0,0 +1,140 @@
+// Package attempter brings requests to plain services and their whole answers back.
+package attempter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"wisteriadrum/answerer"
+	"wisteriadrum/budgeter"
+	"wisteriadrum/caller"
+	"wisteriadrum/claimer"
+	"wisteriadrum/counter"
+	"wisteriadrum/dialer"
+	"wisteriadrum/identifier"
+	"wisteriadrum/judge"
+	"wisteriadrum/picker"
+	"wisteriadrum/recorder"
+	"wisteriadrum/refuser"
+	"wisteriadrum/tracker"
+)
+
+const (
+	maxMoves  = 6
+	maxAnswer = 16 << 20 // bytes
+	movePause = 20 * time.Millisecond
+	identity  = -2 // length of a body that ends with its connection
+)
+
+// Attempter runs requests at plain services.
+type Attempter struct {
+	dialer dialer.Dialer
+	picker *picker.Picker
+	claims *claimer.Claimer
+	budget *budgeter.Budget
+	count  *counter.Counter
+	now    func() time.Time
+}
+
+// New returns an attempter.
+func New(dial dialer.Dialer, pick *picker.Picker, claims *claimer.Claimer, budget *budgeter.Budget, count *counter.Counter, now func() time.Time) *Attempter {
+	return &Attempter{dialer: dial, picker: pick, claims: claims, budget: budget, count: count, now: now}
+}
+
+// Run sends request to a service and returns its whole answer. Non-idempotent
+// requests run at most once: those with a key over all their resends, those
+// without one over all attempts made here.
+func (a *Attempter) Run(ctx context.Context, request *identifier.Request) (recorder.Answer, error) {
+	if !request.Route.Once || request.Key == "" {
+		return a.attempts(request, time.Time{})
+	}
+	expires := request.Route.KeepUntil(request.At)
+	return a.claims.Do(ctx, request.ClaimKey(), request.Hash(), expires, func(sendBy time.Time) (recorder.Answer, error) {
+		return a.attempts(request, sendBy)
+	})
+}
+
+// attempts tries endpoints until one answers. Once-only work is tried again
+// only where the last attempt is known not to have run.
+func (a *Attempter) attempts(request *identifier.Request, sendBy time.Time) (recorder.Answer, error) {
+	var tried []*tracker.Track
+	worst := judge.NotRun
+	for {
+		choice, err := a.picker.Pick(request, tried)
+		if err != nil {
+			return recorder.Answer{}, withVerdict(err, worst)
+		}
+		answer, err := a.attempt(request, choice.Track, len(tried), sendBy)
+		if err == nil {
+			a.budget.Earn()
+			return answer, nil
+		}
+		worst = max(worst, judge.Of(err))
+		tried = append(tried, choice.Track)
+		if request.Route.Once && worst != judge.NotRun {
+			return recorder.Answer{}, err
+		}
+		if len(tried) >= maxMoves || !a.budget.Spend() {
+			a.count.Add("retry", "exhausted")
+			return recorder.Answer{}, withVerdict(err, worst)
+		}
+		a.count.Add("retry", code(err))
+		time.Sleep(movePause)
+	}
+}
+
+func (a *Attempter) attempt(request *identifier.Request, track *tracker.Track, moves int, sendBy time.Time) (recorder.Answer, error) {
+	track.Begin(0)
+	defer track.End()
+	now := a.now()
+	if !sendBy.IsZero() && now.After(sendBy) {
+		return recorder.Answer{}, refuser.New(refuser.ClaimFailed, judge.NotRun, "the claim is too old to be sent")
+	}
+	answer, err := a.dialer.Open(caller.Call{
+		Address: track.Endpoint.Address, Attempt: fmt.Sprintf("%s-%d", request.ID, moves),
+		Method: request.Method, Path: request.Target(), ContentType: request.ContentType, Body: request.Body,
+		Salt: request.Salt, Fresh: true, SendBy: sendBy,
+		FirstBy: request.Route.FirstBy(now), IdleBy: request.Route.IdleBy,
+	})
+	if err != nil {
+		a.picker.Failed(track)
+		return recorder.Answer{}, err
+	}
+	a.picker.Heard(request, track, answer)
+	return a.read(track, answer)
+}
+
+// read returns the whole answer or says that there is none.
+func (a *Attempter) read(track *tracker.Track, answer *answerer.Answer) (recorder.Answer, error) {
+	defer answer.Close(false)
+	if answer.Refused {
+		return recorder.Answer{}, refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s: %s", track.Endpoint.Name, answer.Reason)
+	}
+	if answer.Length == identity {
+		return recorder.Answer{}, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "endpoint %s did not say how long its answer is", track.Endpoint.Name)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
+	if err != nil || answer.Length > len(body) {
+		return recorder.Answer{}, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "the answer of endpoint %s was cut: %v", track.Endpoint.Name, err)
+	}
+	if len(body) > maxAnswer {
+		return recorder.Answer{}, refuser.New(refuser.TooLarge, judge.Ran, "the answer of endpoint %s is larger than %d bytes", track.Endpoint.Name, maxAnswer)
+	}
+	return recorder.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: body}, nil
+}
+
+func withVerdict(err error, ran judge.Verdict) error {
+	if refusal, ok := err.(*refuser.Refusal); ok && ran > refusal.Ran {
+		return refusal.WithVerdict(ran)
+	}
+	return err
+}
+
+func code(err error) string {
+	if refusal, ok := err.(*refuser.Refusal); ok {
+		return string(refusal.Code)
+	}
+	return string(refuser.UpstreamLost)
+}
--- /dev/null
+++ b/booker/service.go
@@ -0,0 +1,131 @@
+// Package booker is a stand-in for a plain service whose calls may not be
+// repeated. It counts the runs of each request.
+package booker
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/muter"
+
+	"wisteriadrum/dialer"
+	"wisteriadrum/judge"
+	"wisteriadrum/severer"
+)
+
+// Faults are the ways in which the service fails just now.
+type Faults struct {
+	// Lose runs the next so many requests and closes without an answer.
+	Lose int `json:"lose"`
+	// Refuse refuses the next so many requests without running them.
+	Refuse int `json:"refuse"`
+	// Hold delays the run by so many milliseconds.
+	Hold int `json:"hold"`
+	// Cut runs the next so many requests and cuts their answers short.
+	Cut int `json:"cut"`
+}
+
+// Service runs each request that reaches it.
+type Service struct {
+	http *fasthttp.Server
+
+	mu     sync.Mutex
+	faults Faults
+	runs   map[string]int
+	total  int
+}
+
+// New returns a service that has run nothing.
+func New() *Service {
+	s := &Service{runs: map[string]int{}}
+	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: muter.New()}
+	return s
+}
+
+// Serve answers on listener until it is closed.
+func (s *Service) Serve(listener net.Listener) error { return s.http.Serve(severer.New(listener)) }
+
+// Fail sets the faults in force from now on.
+func (s *Service) Fail(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Runs returns how often each request body has run.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for body, count := range s.runs {
+		runs[body] = count
+	}
+	return runs
+}
+
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/fault":
+		var faults Faults
+		if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		s.Fail(faults)
+	case "/runs":
+		_ = json.NewEncoder(ctx).Encode(s.Runs()) // writes to memory
+	default:
+		s.run(ctx)
+	}
+}
+
+func (s *Service) run(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(dialer.HeaderAttempt, string(ctx.Request.Header.Peek(dialer.HeaderAttempt)))
+	s.mu.Lock()
+	faults := s.faults
+	s.faults.Refuse = max(faults.Refuse-1, 0)
+	s.mu.Unlock()
+	if faults.Refuse > 0 || late(ctx) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(dialer.HeaderVerdict, judge.NotRun.String())
+		ctx.Response.Header.Set(dialer.HeaderReason, "busy")
+		return
+	}
+	time.Sleep(time.Duration(faults.Hold) * time.Millisecond)
+	answer := s.book(string(ctx.PostBody()))
+	s.mu.Lock()
+	s.faults.Lose = max(s.faults.Lose-1, 0)
+	s.faults.Cut = max(s.faults.Cut-1, 0)
+	s.mu.Unlock()
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(answer)
+	if faults.Lose > 0 {
+		_ = ctx.Conn().Close()
+	}
+	if faults.Cut > 0 {
+		ctx.Response.ImmediateHeaderFlush = true
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer[:len(answer)/2])
+		})
+	}
+}
+
+// book runs one request.
+func (s *Service) book(body string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[body]++
+	s.total++
+	return fmt.Sprintf(`{"booking":%d,"run":%d}`, s.total, s.runs[body])
+}
+
+func late(ctx *fasthttp.RequestCtx) bool {
+	by, err := time.Parse(time.RFC3339Nano, string(ctx.Request.Header.Peek(dialer.HeaderSendBy)))
+	return err == nil && time.Now().After(by)
+}
--- /dev/null
+++ b/dialer/dialer.go
@@ -0,0 +1,19 @@
+// Package dialer makes calls to endpoints.
+package dialer
+
+import (
+	"wisteriadrum/answerer"
+	"wisteriadrum/caller"
+	"wisteriadrum/reporter"
+)
+
+// Dialer makes calls to endpoints and repeats none. Each error carries a
+// verdict, which is judge.NotRun only where the endpoint cannot have begun.
+type Dialer interface {
+	// Open makes one attempt and returns as soon as its answer begins.
+	Open(call caller.Call) (*answerer.Answer, error)
+	// Cancel tells the endpoint at address to end an attempt.
+	Cancel(address, attempt string) error
+	// Load asks the endpoint at address for its load.
+	Load(address string) (reporter.Report, error)
+}
--- /dev/null
+++ b/dialer/http.go
@@ -0,0 +1,280 @@
+package dialer
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/answerer"
+	"wisteriadrum/caller"
+	"wisteriadrum/judge"
+	"wisteriadrum/packer"
+	"wisteriadrum/pooler"
+	"wisteriadrum/refuser"
+	"wisteriadrum/reporter"
+)
+
+// Header fields of the endpoint protocol.
+const (
+	HeaderAttempt     = "X-Attempt-Id"
+	HeaderSalt        = "X-Cache-Salt"
+	HeaderWeights     = "X-Weights-Version"
+	HeaderPriority    = "X-Priority"
+	HeaderSendBy      = "X-Start-By"
+	HeaderIncarnation = "X-Incarnation"
+	HeaderCached      = "X-Cached-Bytes"
+	HeaderQueue       = "X-Queue-Bytes"
+	HeaderVerdict     = "X-Verdict"
+	HeaderReason      = "X-Reason"
+	HeaderLastEvent   = "Last-Event-ID"
+)
+
+const (
+	dialTimeout  = time.Second
+	loadTimeout  = time.Second
+	maxLoadBytes = 1 << 16
+	// reusedTimeout bounds the wait for an answer's head on a connection that
+	// was used before, because such a connection may have gone silent.
+	reusedTimeout = 400 * time.Millisecond
+)
+
+type httpDialer struct {
+	pool *pooler.Pool
+	now  func() time.Time
+}
+
+// New returns a dialer that speaks HTTP over connections opened with dial.
+// A nil dial opens TCP connections with a timeout of one second.
+func New(dial func(address string) (net.Conn, error), now func() time.Time) Dialer {
+	if dial == nil {
+		dial = func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, dialTimeout)
+		}
+	}
+	return &httpDialer{pool: pooler.New(dial, now), now: now}
+}
+
+func (d *httpDialer) Open(call caller.Call) (*answerer.Answer, error) {
+	conn, err := d.pool.Get(call.Address, call.Fresh)
+	if err != nil {
+		code := refuser.Timeout
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			code = refuser.UpstreamLost
+		}
+		return nil, refuser.New(code, judge.NotRun, "dial %s: %s", call.Address, err)
+	}
+	answer, err := d.exchange(conn, call)
+	if err == nil {
+		return answer, nil
+	}
+	_ = conn.Close()
+	if conn.Reused {
+		// The others of its age may be silent too.
+		d.pool.Drop(call.Address)
+	}
+	return nil, err
+}
+
+func (d *httpDialer) Cancel(address, attempt string) error {
+	now := d.now()
+	answer, err := d.Open(caller.Call{
+		Address: address, Attempt: attempt, Method: fasthttp.MethodDelete, Path: "/v1/attempts/" + attempt,
+		Fresh: true, FirstBy: now.Add(loadTimeout), IdleBy: func(now time.Time) time.Time { return now.Add(loadTimeout) },
+	})
+	if err != nil {
+		return err
+	}
+	answer.Close(false)
+	return nil
+}
+
+func (d *httpDialer) Load(address string) (reporter.Report, error) {
+	now := d.now()
+	answer, err := d.Open(caller.Call{
+		Address: address, Method: fasthttp.MethodGet, Path: "/v1/load",
+		FirstBy: now.Add(loadTimeout), IdleBy: func(now time.Time) time.Time { return now.Add(loadTimeout) },
+	})
+	if err != nil {
+		return reporter.Report{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxLoadBytes))
+	answer.Close(err == nil)
+	if err != nil {
+		return reporter.Report{}, eris.Wrap(err, "read load report")
+	}
+	if answer.Status != fasthttp.StatusOK {
+		return reporter.Report{}, eris.Errorf("load report has status %d", answer.Status)
+	}
+	var report reporter.Report
+	err = json.Unmarshal(body, &report)
+	report.Incarnation = packer.Incarnation(report.Incarnation)
+	return report, eris.Wrap(err, "decode load report")
+}
+
+func (d *httpDialer) exchange(conn *pooler.Conn, call caller.Call) (*answerer.Answer, error) {
+	if err := send(conn, call); err != nil {
+		return nil, err
+	}
+	headBy := call.FirstBy
+	if soon := d.now().Add(reusedTimeout); conn.Reused && soon.Before(headBy) {
+		headBy = soon
+	}
+	if err := conn.SetReadDeadline(headBy); err != nil {
+		return nil, lost(call, err)
+	}
+	response := fasthttp.AcquireResponse()
+	response.StreamBody = true
+	response.SkipBody = call.Method == fasthttp.MethodHead
+	if err := response.Read(conn.Reader); err != nil {
+		fasthttp.ReleaseResponse(response)
+		return nil, lost(call, err)
+	}
+	answer := d.answer(conn, call, response)
+	if call.Attempt != "" && answer.Attempt != call.Attempt && (answer.Attempt != "" || !call.Fresh) {
+		answer.Close(false)
+		return nil, refuser.New(refuser.AnswerCrossed, judge.MayHaveRun, "answer to attempt %q came for %q", answer.Attempt, call.Attempt)
+	}
+	return answer, nil
+}
+
+func (d *httpDialer) answer(conn *pooler.Conn, call caller.Call, response *fasthttp.Response) *answerer.Answer {
+	head := &response.Header
+	answer := &answerer.Answer{
+		Status:      response.StatusCode(),
+		ContentType: string(head.ContentType()),
+		Attempt:     string(head.Peek(HeaderAttempt)),
+		Incarnation: packer.Incarnation(string(head.Peek(HeaderIncarnation))),
+		Cached:      number(head.Peek(HeaderCached)),
+		Queue:       number(head.Peek(HeaderQueue)),
+		Refused:     string(head.Peek(HeaderVerdict)) == judge.NotRun.String(),
+		Reason:      string(head.Peek(HeaderReason)),
+		Length:      head.ContentLength(),
+	}
+	if response.SkipBody {
+		answer.Length = 0
+	}
+	first := true
+	answer.Body = reader(func(buffer []byte) (int, error) {
+		deadline := call.IdleBy(d.now())
+		if first && call.FirstBy.After(deadline) {
+			deadline = call.FirstBy
+		}
+		if err := conn.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+		body := response.BodyStream()
+		if body == nil {
+			return 0, io.EOF
+		}
+		n, err := body.Read(buffer)
+		first = first && n == 0
+		return n, err
+	})
+	keep := !head.ConnectionClose() && answer.Length != identity
+	answer.Finish = func(whole bool) {
+		if !whole || !keep {
+			// Closed first: closing the body stream reads on to its end.
+			_ = conn.Close()
+		}
+		_ = response.CloseBodyStream()
+		fasthttp.ReleaseResponse(response)
+		if whole && keep {
+			d.pool.Put(call.Address, conn)
+		}
+	}
+	return answer
+}
+
+// identity is fasthttp's content length of a body that ends with its connection.
+const identity = -2
+
+type reader func([]byte) (int, error)
+
+func (r reader) Read(buffer []byte) (int, error) { return r(buffer) }
+
+// countingWriter counts the bytes that the connection accepted.
+type countingWriter struct {
+	net.Conn
+	count int
+}
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	n, err := w.Conn.Write(data)
+	w.count += n
+	return n, err
+}
+
+func send(conn *pooler.Conn, call caller.Call) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	fill(request, call)
+	if err := conn.SetWriteDeadline(call.FirstBy); err != nil {
+		return refuser.New(refuser.UpstreamLost, judge.NotRun, "%s: %s", call.Address, err)
+	}
+	counted := &countingWriter{Conn: conn.Conn}
+	writer := bufio.NewWriter(counted)
+	err := request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	if counted.count == 0 {
+		return refuser.New(refuser.UpstreamLost, judge.NotRun, "write to %s: %s", call.Address, err)
+	}
+	return lost(call, err)
+}
+
+func fill(request *fasthttp.Request, call caller.Call) {
+	head := &request.Header
+	head.SetMethod(call.Method)
+	request.SetRequestURI("http://" + call.Address + call.Path)
+	request.SetBody(call.Body)
+	if call.ContentType != "" {
+		head.SetContentType(call.ContentType)
+	}
+	set := func(name, value string) {
+		if value != "" {
+			head.Set(name, value)
+		}
+	}
+	set(HeaderAttempt, call.Attempt)
+	set(HeaderSalt, call.Salt)
+	set(HeaderWeights, call.Weights)
+	if call.Priority != 0 {
+		set(HeaderPriority, strconv.Itoa(call.Priority))
+	}
+	if call.Attach {
+		set(HeaderLastEvent, strconv.Itoa(call.Resume))
+	}
+	if !call.SendBy.IsZero() {
+		set(HeaderSendBy, call.SendBy.UTC().Format(time.RFC3339Nano))
+	}
+}
+
+func lost(call caller.Call, err error) error {
+	code := refuser.UpstreamLost
+	var timeout net.Error
+	if eris.As(err, &timeout) && timeout.Timeout() {
+		code = refuser.Timeout
+	}
+	return refuser.New(code, judge.MayHaveRun, "%s %s at %s: %s", call.Method, call.Path, call.Address, fmt.Sprint(err))
+}
+
+func number(text []byte) int {
+	value, err := strconv.Atoi(string(text))
+	if err != nil {
+		return -1
+	}
+	return value
+}
--- /dev/null
+++ b/fetcher/fetcher.go
@@ -0,0 +1,84 @@
+// Package fetcher makes single HTTP calls to the platform and never repeats one.
+package fetcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/judge"
+	"wisteriadrum/refuser"
+)
+
+const (
+	dialTimeout = time.Second
+	callTimeout = 5 * time.Second
+	maxAnswer   = 64 << 20 // bytes
+)
+
+// ErrNotFound is returned for an object that does not exist.
+var ErrNotFound = errors.New("not found")
+
+// Fetcher calls one HTTP server.
+type Fetcher struct {
+	client  *fasthttp.HostClient
+	address string
+}
+
+// New returns a fetcher for the server at address, an IP address and port.
+func New(address string) *Fetcher {
+	return &Fetcher{address: address, client: &fasthttp.HostClient{
+		Addr: address,
+		Dial: func(addr string) (net.Conn, error) {
+			return fasthttp.DialTimeout(addr, dialTimeout)
+		},
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxAnswer,
+	}}
+}
+
+// Do sends one request and returns the body of its answer. It ends at the
+// deadline of ctx or after five seconds. The error's verdict is judge.NotRun
+// when the server cannot have received the request.
+func (f *Fetcher) Do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + f.address + path)
+	request.SetBody(body)
+	deadline := time.Now().Add(callTimeout)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	if err := f.client.DoDeadline(request, response, deadline); err != nil {
+		return nil, f.failure(err)
+	}
+	return f.read(method, path, response)
+}
+
+func (f *Fetcher) read(method, path string, response *fasthttp.Response) ([]byte, error) {
+	switch status := response.StatusCode(); status {
+	case fasthttp.StatusOK:
+		return append([]byte(nil), response.Body()...), nil
+	case fasthttp.StatusNotFound:
+		return nil, eris.Wrapf(ErrNotFound, "%s %s", method, path)
+	default:
+		return nil, refuser.New(refuser.ClaimFailed, judge.MayHaveRun, "platform answered %d to %s %s", status, method, path)
+	}
+}
+
+func (f *Fetcher) failure(err error) error {
+	ran := judge.MayHaveRun
+	var op *net.OpError
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &op) && op.Op == "dial" {
+		ran = judge.NotRun
+	}
+	return refuser.New(refuser.ClaimFailed, ran, "platform at %s: %s", f.address, fmt.Sprint(err))
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,200 @@
+// Package follower brings an instance the newest configuration and the planned
+// stops, from the platform and from other instances, whichever has them first.
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"wisteriadrum/assembler"
+	"wisteriadrum/cataloguer"
+	"wisteriadrum/counter"
+	"wisteriadrum/indexer"
+	"wisteriadrum/keeper"
+	"wisteriadrum/lister"
+	"wisteriadrum/stopper"
+	"wisteriadrum/storer"
+	"wisteriadrum/tabler"
+)
+
+const (
+	// HeadKey names the row with the number of the newest configuration.
+	HeadKey = "config/head"
+	// StopsKey names the row with the planned stops.
+	StopsKey = "stops"
+
+	pollEvery   = 2 * time.Second
+	pollTimeout = 4 * time.Second
+)
+
+// Head is the value of the row that says which configuration is in force.
+type Head struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+	// Publish names the publication, so that its author can recognise it.
+	Publish string `json:"publish"`
+	// Past names the publications before, the newest first.
+	Past []string `json:"past,omitempty"`
+}
+
+// maxPast bounds the publications that a head remembers.
+const maxPast = 32
+
+// Next returns the head that follows h.
+func (h Head) Next(digest, publish string) Head {
+	next := Head{Number: h.Number + 1, Digest: digest, Publish: publish}
+	if h.Publish != "" {
+		next.Past = append([]string{h.Publish}, h.Past...)
+	}
+	next.Past = next.Past[:min(len(next.Past), maxPast)]
+	return next
+}
+
+// Includes reports whether publish is h's publication or one before it.
+func (h Head) Includes(publish string) bool {
+	return h.Publish == publish || slices.Contains(h.Past, publish)
+}
+
+// Follower keeps the configuration sections of a board up to date.
+type Follower struct {
+	board      *keeper.Board
+	dataCentre string
+	table      tabler.Table
+	store      storer.Store
+	list       lister.List
+	count      *counter.Counter
+	log        *zap.Logger
+	adopting   sync.Mutex
+}
+
+// New returns a follower for an instance in dataCentre.
+func New(board *keeper.Board, dataCentre string, table tabler.Table, store storer.Store, list lister.List, count *counter.Counter, log *zap.Logger) *Follower {
+	return &Follower{board: board, dataCentre: dataCentre, table: table, store: store, list: list, count: count, log: log}
+}
+
+// Run polls the platform until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.Poll(ctx)
+		wait := time.NewTimer(pollEvery/2 + rand.N(pollEvery))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+		}
+	}
+}
+
+// Adopt puts a configuration in force if its number is higher than the one in
+// force. Numbers never go back.
+func (f *Follower) Adopt(number uint64, digest string, source []byte) error {
+	f.adopting.Lock()
+	defer f.adopting.Unlock()
+	if number <= f.number() {
+		f.count.Add("config", "stale")
+		return nil
+	}
+	if cataloguer.Digest(source) != digest {
+		f.count.Add("config", "corrupt")
+		return eris.Errorf("configuration %d does not have the digest %s", number, digest)
+	}
+	index, err := indexer.New(number, source)
+	if err != nil {
+		f.count.Add("config", "invalid")
+		return eris.Wrapf(err, "configuration %d", number)
+	}
+	f.board.Fleet.Update(func(old *assembler.Fleet) *assembler.Fleet {
+		return assembler.New(index, f.dataCentre, old)
+	})
+	f.board.Index.Store(index)
+	f.ApplyStops()
+	f.count.Add("config", "adopted")
+	f.log.Info("configuration in force", zap.Uint64("number", number), zap.String("digest", digest))
+	return nil
+}
+
+// ApplyStops marks the endpoints that a planned stop or the platform's list
+// keeps new work away from.
+func (f *Follower) ApplyStops() {
+	stops := f.board.Stops.Load()
+	leaving := map[string]bool{}
+	for _, entry := range f.board.Listed.Load() {
+		leaving[entry.Name] = entry.State == lister.Leaving
+	}
+	for name, track := range f.board.Fleet.Load().All() {
+		track.Stop(stops.Active(name) || leaving[name])
+	}
+}
+
+// MergeStops takes in stops from elsewhere and reports whether any was news.
+func (f *Follower) MergeStops(stops []stopper.Stop) bool {
+	before := f.board.Stops.Load().Hash()
+	f.board.Stops.Update(func(old stopper.Stops) stopper.Stops { return old.With(stops...) })
+	if f.board.Stops.Load().Hash() == before {
+		return false
+	}
+	f.ApplyStops()
+	f.log.Info("planned stops changed", zap.Int("stops", len(stops)))
+	return true
+}
+
+func (f *Follower) number() uint64 {
+	if index := f.board.Index.Load(); index != nil {
+		return index.Number
+	}
+	return 0
+}
+
+// Poll asks the platform once.
+func (f *Follower) Poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	f.pollList(ctx)
+	rows, err := f.table.Get(ctx, HeadKey, StopsKey)
+	if err != nil {
+		f.count.Add("config", "poll-failures")
+		return
+	}
+	if stops, err := stopper.New(rows[1].Value); err == nil {
+		f.board.StopsKept.Store(stops.Hash())
+		f.MergeStops(stops.List())
+	}
+	if rows[0].Version == 0 {
+		return
+	}
+	if err := f.fetch(ctx, rows[0]); err != nil {
+		f.count.Add("config", "fetch-failures")
+	}
+}
+
+func (f *Follower) pollList(ctx context.Context) {
+	entries, err := f.list.Entries(ctx)
+	if err != nil {
+		f.count.Add("config", "list-failures")
+		return
+	}
+	f.board.Listed.Store(entries)
+	f.ApplyStops()
+}
+
+func (f *Follower) fetch(ctx context.Context, row tabler.Row) error {
+	var head Head
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return eris.Wrap(err, "decode configuration head")
+	}
+	if head.Number <= f.number() {
+		return nil
+	}
+	source, err := f.store.Get(ctx, head.Digest)
+	if err != nil {
+		return err
+	}
+	return f.Adopt(head.Number, head.Digest, source)
+}
--- /dev/null
+++ b/gossiper/rpc.go
@@ -0,0 +1,171 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"wisteriadrum/claimer"
+	"wisteriadrum/messenger"
+	"wisteriadrum/tabler"
+)
+
+// Source is a configuration as one instance gives it to another.
+type Source struct {
+	Number uint64
+	Digest string
+	Text   []byte
+}
+
+// Applied is the outcome of a write made for another instance.
+type Applied struct {
+	Row tabler.Row
+	Won bool
+}
+
+const serviceName = "Peer"
+
+// serveTimeout bounds what one instance does for another in one call.
+const serveTimeout = 3 * time.Second
+
+// service is what other instances call.
+type service struct {
+	gossiper *Gossiper
+	local    Local
+}
+
+// Serve answers the calls of other instances on listener until it is closed.
+func (g *Gossiper) Serve(listener net.Listener, local Local) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &service{gossiper: g, local: local}); err != nil {
+		return eris.Wrap(err, "register peer service")
+	}
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			g.count.Add("peers", "accept-failures")
+			time.Sleep(serveTimeout / 100)
+			continue
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// Exchange takes in the digest of another instance and returns this one's.
+func (s *service) Exchange(digest messenger.Digest, reply *messenger.Digest) error {
+	*reply = *s.gossiper.digest()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+		defer cancel()
+		s.gossiper.merge(ctx, digest)
+	}()
+	return nil
+}
+
+// Set returns the configuration in force, which may be newer than number.
+func (s *service) Set(number uint64, reply *Source) error {
+	index := s.gossiper.board.Index.Load()
+	if index == nil || index.Number < number {
+		return eris.Errorf("configuration %d is not here", number)
+	}
+	*reply = Source{Number: index.Number, Digest: index.Digest, Text: index.Source}
+	return nil
+}
+
+// Claim says how a claim of this instance stands.
+func (s *service) Claim(token string, reply *claimer.Standing) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	*reply = s.local.Standing(ctx, token)
+	return nil
+}
+
+// Apply commits a write together with others of this instance.
+func (s *service) Apply(write tabler.Write, reply *Applied) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	row, won, err := s.local.Apply(ctx, write)
+	*reply = Applied{Row: row, Won: won}
+	return err
+}
+
+// Claim asks the instance at address how its claim with token stands.
+func (g *Gossiper) Claim(ctx context.Context, address, token string) (claimer.Standing, error) {
+	var standing claimer.Standing
+	err := g.call(ctx, address, "Peer.Claim", token, &standing)
+	return standing, err
+}
+
+// Apply asks the instance at address to commit write.
+func (g *Gossiper) Apply(ctx context.Context, address string, write tabler.Write) (tabler.Row, bool, error) {
+	var applied Applied
+	err := g.call(ctx, address, "Peer.Apply", write, &applied)
+	return applied.Row, applied.Won, err
+}
+
+// client is a kept connection to one instance.
+type client struct {
+	*rpc.Client
+}
+
+// call calls another instance over a kept connection, which is given up
+// after an error or a time-out.
+func (g *Gossiper) call(ctx context.Context, address, method string, argument, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	known, err := g.client(address)
+	if err != nil {
+		return err
+	}
+	done := make(chan *rpc.Call, 1)
+	known.Go(method, argument, reply, done)
+	select {
+	case call := <-done:
+		var served rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &served) {
+			g.drop(address, known)
+		}
+		return call.Error
+	case <-ctx.Done():
+		g.drop(address, known)
+		return ctx.Err()
+	}
+}
+
+func (g *Gossiper) client(address string) (*client, error) {
+	g.mu.Lock()
+	known := g.clients[address]
+	g.mu.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	conn, err := g.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	fresh := &client{Client: rpc.NewClient(conn)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known := g.clients[address]; known != nil {
+		_ = fresh.Close()
+		return known, nil
+	}
+	g.clients[address] = fresh
+	return fresh, nil
+}
+
+func (g *Gossiper) drop(address string, known *client) {
+	g.mu.Lock()
+	if g.clients[address] == known {
+		delete(g.clients, address)
+	}
+	g.mu.Unlock()
+	_ = known.Close()
+}
--- /dev/null
+++ b/grouper/pool.go
@@ -0,0 +1,52 @@
+// Package grouper describes pools of endpoints that do the same work.
+package grouper
+
+import "wisteriadrum/namer"
+
+// Kind says what the endpoints of a pool are.
+type Kind string
+
+const (
+	// Engine is a pool of model engines.
+	Engine Kind = "engine"
+	// Service is a pool of plain services.
+	Service Kind = "service"
+)
+
+// Pool is a group of endpoints. Model and Version are set for engines.
+type Pool struct {
+	Name    string `json:"name"`
+	Kind    Kind   `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	// Fenced means that the engines refuse orders with an old fencing number.
+	Fenced bool `json:"fenced,omitempty"`
+	// Continues means that an engine can go on from text already generated.
+	Continues bool `json:"continues,omitempty"`
+	// Serving is the least number of endpoints that serve during a rollout.
+	Serving int `json:"serving,omitempty"`
+	// Prefill is the prefill time of one prompt byte in nanoseconds.
+	Prefill int `json:"prefill,omitempty"`
+}
+
+// Check reports each fault of p.
+func (p *Pool) Check(report func(path, text string)) {
+	if !namer.Valid(p.Name) {
+		report("name", namer.Rule)
+	}
+	switch p.Kind {
+	case Engine:
+		if p.Model == "" || p.Version == "" {
+			report("model", "an engine pool needs a model and a version")
+		}
+	case Service:
+		if p.Model != "" || p.Version != "" || p.Continues {
+			report("kind", "a service pool has no model, version or continues")
+		}
+	default:
+		report("kind", `must be "engine" or "service"`)
+	}
+	if p.Serving < 0 || p.Prefill < 0 {
+		report("serving", "serving and prefill must not be negative")
+	}
+}
--- /dev/null
+++ b/identifier/request.go
@@ -0,0 +1,158 @@
+// Package identifier finds out what a caller's request asks for.
+package identifier
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"wisteriadrum/director"
+	"wisteriadrum/generator"
+	"wisteriadrum/grouper"
+	"wisteriadrum/hasher"
+	"wisteriadrum/indexer"
+	"wisteriadrum/judge"
+	"wisteriadrum/prompter"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/refuser"
+	"wisteriadrum/tenant"
+)
+
+const (
+	maxLevels = 256
+	maxKey    = 256 // bytes
+	bearer    = "Bearer "
+)
+
+// The paths of model requests.
+const (
+	CompletionsPath = "/v1/completions"
+	ChatPath        = "/v1/chat/completions"
+)
+
+// Input is a caller's request as it arrived.
+type Input struct {
+	ID            string
+	Method        string
+	Path          string
+	Query         string
+	ContentType   string
+	Authorization string
+	Key           string
+	LastEvent     string
+	Body          []byte
+	At            time.Time
+}
+
+// Request is a caller's request with everything it refers to.
+type Request struct {
+	Input
+	Workspace   tenant.Workspace
+	Route       director.Route
+	Pool        grouper.Pool
+	Model       generator.Model
+	Prompt      prompter.Prompt
+	Chain       hasher.Chain
+	Fingerprint uint64
+	Salt        string
+}
+
+// New identifies input by the set in index. The error is a refusal.
+func New(input Input, index *indexer.Index) (*Request, error) {
+	if index == nil {
+		return nil, refuser.New(refuser.NoSet, judge.NotRun, "no configuration has reached this instance yet")
+	}
+	workspace, err := authenticate(input.Authorization, index)
+	if err != nil {
+		return nil, err
+	}
+	if len(input.Key) > maxKey {
+		return nil, refuser.New(refuser.TooLarge, judge.NotRun, "the idempotency key is longer than %d bytes", maxKey)
+	}
+	r := &Request{Input: input, Workspace: workspace, Salt: salt(workspace.Name)}
+	if input.Path == CompletionsPath || input.Path == ChatPath {
+		err = r.identifyModel(index)
+	} else {
+		err = r.identifyService(index)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !r.Route.Allows(workspace.Name) {
+		return nil, refuser.New(refuser.Forbidden, judge.NotRun, "workspace %s may not use route %s", workspace.Name, r.Route.Name)
+	}
+	r.Fingerprint = quarantiner.Fingerprint(workspace.Name, input.Path, input.Body)
+	return r, nil
+}
+
+// ClaimKey returns the name of the request's row in the table service.
+func (r *Request) ClaimKey() string {
+	return "once/" + r.Workspace.Name + "/" + r.Route.Name + "/" + digest(r.Key)
+}
+
+// Hash returns the hash of what an idempotency key is bound to.
+func (r *Request) Hash() string {
+	return digest(r.Method + "\x00" + r.Path + "\x00" + r.Query + "\x00" + string(r.Body))
+}
+
+// Target returns the path with the query.
+func (r *Request) Target() string {
+	if r.Query == "" {
+		return r.Path
+	}
+	return r.Path + "?" + r.Query
+}
+
+func (r *Request) identifyModel(index *indexer.Index) error {
+	if r.Method != "POST" {
+		return refuser.New(refuser.BadRequest, judge.NotRun, "%s needs method POST", r.Path)
+	}
+	prompt, err := prompter.New(r.Body, r.Path == ChatPath)
+	if err != nil {
+		return refuser.New(refuser.BadRequest, judge.NotRun, "%s", err)
+	}
+	route, ok := index.ModelRoute(prompt.Model)
+	if !ok {
+		return refuser.New(refuser.NoRoute, judge.NotRun, "no route serves model %q", prompt.Model)
+	}
+	r.Route, r.Prompt = route, prompt
+	r.Pool = index.Pool(route.Pool)
+	r.Model = index.Model(r.Pool.Model)
+	if levels := len(prompt.Text) / r.Model.PieceBytes(); levels > maxLevels {
+		return refuser.New(refuser.TooDeep, judge.NotRun, "the prompt has %d pieces, more than %d", levels, maxLevels)
+	}
+	r.Chain = hasher.New(r.Workspace.Name, r.Model.Name, r.Pool.Version, prompt.Text, r.Model.PieceBytes())
+	return nil
+}
+
+func (r *Request) identifyService(index *indexer.Index) error {
+	route, ok := index.PathRoute(r.Path)
+	if !ok {
+		return refuser.New(refuser.NoRoute, judge.NotRun, "no route serves path %q", r.Path)
+	}
+	if route.Keyed && r.Key == "" {
+		return refuser.New(refuser.KeyRequired, judge.NotRun, "route %s needs an Idempotency-Key", route.Name)
+	}
+	r.Route, r.Pool = route, index.Pool(route.Pool)
+	return nil
+}
+
+func authenticate(authorization string, index *indexer.Index) (tenant.Workspace, error) {
+	key, ok := strings.CutPrefix(authorization, bearer)
+	if !ok {
+		return tenant.Workspace{}, refuser.New(refuser.Unauthorized, judge.NotRun, "a bearer key is required")
+	}
+	workspace, ok := index.Workspace(key)
+	if !ok {
+		return tenant.Workspace{}, refuser.New(refuser.Unauthorized, judge.NotRun, "the bearer key is unknown")
+	}
+	return workspace, nil
+}
+
+func salt(workspace string) string { return digest("salt\x00" + workspace)[:16] }
+
+func digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/inferrer/engine.go
@@ -0,0 +1,165 @@
+// Package inferrer is a stand-in for a model engine. It caches prompt
+// prefixes, computes prompts one after the other, generates text that depends
+// only on the text before, and lets streams be resumed and cancelled.
+package inferrer
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/muter"
+
+	"wisteriadrum/hasher"
+	"wisteriadrum/prompter"
+	"wisteriadrum/reporter"
+	"wisteriadrum/severer"
+)
+
+// Options are the engine's sizes and speeds.
+type Options struct {
+	Weights string
+	// Piece is the size in bytes of a cached piece of a prompt.
+	Piece int
+	// Pieces is the number of pieces that the cache holds.
+	Pieces int
+	// PerByte is the prefill time of a prompt byte in nanoseconds.
+	PerByte int
+	// PerToken is the time between two tokens in microseconds.
+	PerToken int
+	// Crash is called when a request crashes the engine. It must not return
+	// before the engine is gone.
+	Crash func()
+}
+
+const (
+	defaultTokens = 16
+	keepAttempts  = 20 * time.Second
+)
+
+// Engine generates answers.
+type Engine struct {
+	options     Options
+	incarnation string
+	http        *fasthttp.Server
+	listener    *severer.Listener
+
+	mu       sync.Mutex
+	faults   Faults
+	attempts map[string]*attempt
+	cache    *cache
+	weights  string
+	queue    int // prompt bytes waiting
+	running  int
+	begun    map[string]int // runs by prompt
+	prefill  sync.Mutex
+	stats    Stats
+}
+
+// Stats counts what the engine has done.
+type Stats struct {
+	Requests   int `json:"requests"`
+	Computed   int `json:"computed"` // prompt bytes
+	Cached     int `json:"cached"`   // prompt bytes
+	Cancelled  int `json:"cancelled"`
+	Incomplete int `json:"incomplete"`
+}
+
+// New returns an engine with an empty cache.
+func New(options Options) *Engine {
+	e := &Engine{
+		options: options, incarnation: uuid.NewString(), weights: options.Weights,
+		attempts: map[string]*attempt{}, cache: newCache(options.Pieces), begun: map[string]int{},
+	}
+	e.http = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, Logger: muter.New(), MaxRequestBodySize: 64 << 20}
+	return e
+}
+
+// Serve answers on listener until it is closed.
+func (e *Engine) Serve(listener net.Listener) error {
+	e.mu.Lock()
+	e.listener = severer.New(listener)
+	e.mu.Unlock()
+	return e.http.Serve(e.listener)
+}
+
+// Fail sets the faults in force from now on.
+func (e *Engine) Fail(faults Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+	if faults.Mute {
+		e.listener.Silence()
+	}
+}
+
+// Crash cuts every connection and stops answering.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener.Crash()
+}
+
+// Stats returns what the engine has done so far.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// Generate returns the whole answer to prompt, for comparison.
+func Generate(prompt prompter.Prompt) string {
+	text := strings.Builder{}
+	last := prompt.Text
+	for i := range tokens(prompt) {
+		token := next(last, i == 0)
+		text.WriteString(token)
+		last += token
+	}
+	return text.String()
+}
+
+func tokens(prompt prompter.Prompt) int {
+	if prompt.MaxTokens == 0 {
+		return defaultTokens
+	}
+	return prompt.MaxTokens
+}
+
+// window is the length of the text that the next token depends on.
+const window = 200
+
+func next(text string, _ bool) string {
+	tail := text[max(0, len(text)-window):]
+	return fmt.Sprintf(" w%03d", xxhash.Sum64String(tail)%1000)
+}
+
+func (e *Engine) load() reporter.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return reporter.Report{
+		Incarnation: e.incarnation, Running: e.running, Queue: e.queue, Weights: e.weights, Leaving: e.faults.Leaving,
+	}
+}
+
+// compute waits its turn and computes what the cache lacks of the prompt.
+func (e *Engine) compute(chain hasher.Chain, queued int) {
+	e.prefill.Lock()
+	defer e.prefill.Unlock()
+	e.mu.Lock()
+	missing := chain.Missing(e.cache.depth(chain))
+	e.mu.Unlock()
+	time.Sleep(time.Duration(missing * e.options.PerByte))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.add(chain)
+	e.queue -= queued
+	e.stats.Computed += missing
+	e.stats.Cached += chain.Size() - missing
+}
--- /dev/null
+++ b/inferrer/faults.go
@@ -0,0 +1,22 @@
+package inferrer
+
+// Faults are the ways in which the engine fails just now.
+type Faults struct {
+	// Poison crashes the engine when a prompt contains it.
+	Poison string `json:"poison"`
+	// Cut closes the connection of a stream after so many events, once each
+	// connection.
+	Cut int `json:"cut"`
+	// Cross answers the next so many requests under another attempt's name.
+	Cross int `json:"cross"`
+	// Refuse refuses the next so many requests.
+	Refuse int `json:"refuse"`
+	// Skip leaves out an event of each connection after so many.
+	Skip int `json:"skip"`
+	// Repeat sends each event twice.
+	Repeat bool `json:"repeat"`
+	// Mute makes all open connections silent, once.
+	Mute bool `json:"mute"`
+	// Leaving refuses new work.
+	Leaving bool `json:"leaving"`
+}
--- /dev/null
+++ b/inferrer/http.go
@@ -0,0 +1,154 @@
+package inferrer
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/chunker"
+	"wisteriadrum/dialer"
+	"wisteriadrum/identifier"
+	"wisteriadrum/judge"
+	"wisteriadrum/prompter"
+)
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(dialer.HeaderIncarnation, e.incarnation)
+	path := string(ctx.Path())
+	switch {
+	case path == "/fault":
+		var faults Faults
+		if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		e.Fail(faults)
+	case path == "/stats":
+		_ = json.NewEncoder(ctx).Encode(e.Stats()) // writes to memory
+	case path == "/v1/load":
+		_ = json.NewEncoder(ctx).Encode(e.load()) // writes to memory
+	case strings.HasPrefix(path, "/v1/attempts/") && ctx.IsDelete():
+		e.handleCancel(ctx, strings.TrimPrefix(path, "/v1/attempts/"))
+	case path == identifier.CompletionsPath || path == identifier.ChatPath:
+		e.handlePrompt(ctx, path == identifier.ChatPath)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) handleCancel(ctx *fasthttp.RequestCtx, name string) {
+	ctx.Response.Header.Set(dialer.HeaderAttempt, name)
+	e.mu.Lock()
+	a := e.attempts[name]
+	e.mu.Unlock()
+	if a != nil {
+		a.cancel()
+	}
+}
+
+func (e *Engine) handlePrompt(ctx *fasthttp.RequestCtx, chat bool) {
+	prompt, err := prompter.New(ctx.PostBody(), chat)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	head := &ctx.Request.Header
+	name, salt := string(head.Peek(dialer.HeaderAttempt)), string(head.Peek(dialer.HeaderSalt))
+	ctx.Response.Header.Set(dialer.HeaderAttempt, name)
+	e.mu.Lock()
+	a, reason := e.find(name, salt, head, prompt)
+	faults := e.faults
+	e.faults.Cross = max(faults.Cross-1, 0)
+	weights, crash := e.weights, a != nil && faults.Poison != "" && strings.Contains(prompt.Text, faults.Poison)
+	e.mu.Unlock()
+	if crash {
+		e.options.Crash()
+		return
+	}
+	if a == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(dialer.HeaderVerdict, judge.NotRun.String())
+		ctx.Response.Header.Set(dialer.HeaderReason, reason)
+		return
+	}
+	if faults.Cross > 0 {
+		ctx.Response.Header.Set(dialer.HeaderAttempt, "another")
+	}
+	ctx.Response.Header.Set(dialer.HeaderWeights, weights)
+	ctx.Response.Header.Set(dialer.HeaderCached, strconv.Itoa(a.cached))
+	ctx.Response.Header.Set(dialer.HeaderQueue, strconv.Itoa(a.queue))
+	e.stream(ctx, a, resumeAt(head), faults)
+}
+
+// find returns the attempt to answer from, which it starts if it is new, or
+// the reason why there is none. The lock must be held.
+func (e *Engine) find(name, salt string, head *fasthttp.RequestHeader, prompt prompter.Prompt) (*attempt, string) {
+	if a := e.attempts[name]; a != nil && a.salt == salt {
+		return a, ""
+	}
+	if len(head.Peek(dialer.HeaderLastEvent)) > 0 {
+		return nil, "unknown-attempt"
+	}
+	if wanted := string(head.Peek(dialer.HeaderWeights)); wanted != "" && wanted != e.weights {
+		return nil, "wrong-weights"
+	}
+	if e.faults.Leaving || e.faults.Refuse > 0 {
+		e.faults.Refuse = max(e.faults.Refuse-1, 0)
+		return nil, "busy"
+	}
+	return e.start(name, salt, prompt), ""
+}
+
+func resumeAt(head *fasthttp.RequestHeader) int {
+	count, err := strconv.Atoi(string(head.Peek(dialer.HeaderLastEvent)))
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, a *attempt, from int, faults Faults) {
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.ImmediateHeaderFlush = true
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
+		written := 0
+		for {
+			events := a.after(from)
+			if events == nil {
+				_ = conn.Close()
+				return
+			}
+			for _, event := range events {
+				from++
+				written++
+				if faults.Cut > 0 && written > faults.Cut {
+					_ = conn.Close()
+					return
+				}
+				if faults.Skip > 0 && written == faults.Skip {
+					continue
+				}
+				if !send(writer, from, event, faults.Repeat) {
+					return
+				}
+				if event == chunker.Done {
+					return
+				}
+			}
+		}
+	})
+}
+
+func send(writer *bufio.Writer, sequence int, event string, twice bool) bool {
+	text := fmt.Sprintf("id: %d\ndata: %s\n\n", sequence, event)
+	if twice {
+		text += text
+	}
+	_, _ = writer.WriteString(text)
+	return writer.Flush() == nil
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,259 @@
+// Package wisteriadrum is a router for language-model traffic with long
+// shared prompts.
+package wisteriadrum
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"wisteriadrum/attempter"
+	"wisteriadrum/balancer"
+	"wisteriadrum/batcher"
+	"wisteriadrum/budgeter"
+	"wisteriadrum/claimer"
+	"wisteriadrum/configurer"
+	"wisteriadrum/coster"
+	"wisteriadrum/counter"
+	"wisteriadrum/dialer"
+	"wisteriadrum/fetcher"
+	"wisteriadrum/follower"
+	"wisteriadrum/gossiper"
+	"wisteriadrum/keeper"
+	"wisteriadrum/limiter"
+	"wisteriadrum/lister"
+	"wisteriadrum/mapper"
+	"wisteriadrum/messenger"
+	"wisteriadrum/operator"
+	"wisteriadrum/picker"
+	"wisteriadrum/prober"
+	"wisteriadrum/publisher"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/server"
+	"wisteriadrum/storer"
+	"wisteriadrum/streamer"
+	"wisteriadrum/tabler"
+)
+
+const (
+	dialTimeout = time.Second
+	// readyPause is how long an instance that stops goes on taking requests,
+	// so that the balancer sees that it is not ready.
+	readyPause = 2 * time.Second
+	drainLimit = 10 * time.Minute
+	flushLimit = 5 * time.Second
+	shareEvery = time.Second
+	keepEvery  = 5 * time.Second
+)
+
+// Instance is one router process.
+type Instance struct {
+	settings *configurer.Settings
+	log      *zap.Logger
+	registry metrics.Registry
+	board    *keeper.Board
+	limits   *limiter.Limiter
+	batch    *batcher.Batcher
+	claims   *claimer.Claimer
+	follow   *follower.Follower
+	publish  *publisher.Publisher
+	gossip   *gossiper.Gossiper
+	probe    *prober.Prober
+	server   *server.Server
+	operator *fasthttp.Server
+}
+
+// New returns an instance that runs by settings and logs to log.
+func New(settings *configurer.Settings, log *zap.Logger) (*Instance, error) {
+	dial, err := peerDial(settings)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now
+	i := &Instance{settings: settings, log: log, registry: metrics.NewRegistry(), board: keeper.New(), limits: limiter.New(settings.Flight)}
+	count := counter.New(i.registry)
+	table := tabler.New(fetcher.New(settings.Table))
+	store := storer.New(fetcher.New(settings.Objects))
+	holders := mapper.New(settings.Map, now())
+	ward := quarantiner.New()
+	endpoints := dialer.New(nil, now)
+	self := messenger.Member{Name: settings.Name, DataCentre: settings.DataCentre, Peer: settings.Peer, Boot: now().UTC()}
+
+	i.follow = follower.New(i.board, settings.DataCentre, table, store, lister.New(fetcher.New(settings.List)), count, log)
+	i.publish = publisher.New(table, store)
+	i.gossip = gossiper.New(self, settings.Peers, i.board, ward, i.follow, holders.Slot, dial, count, log, now)
+	i.probe = prober.New(settings.Name, i.board, endpoints, holders.Slot, count, now)
+	i.batch = batcher.New(table, count)
+	owner := settings.Name + "@" + self.Boot.Format(time.RFC3339Nano)
+	i.claims = claimer.New(owner, settings.Peer, i.batch, table, store, i.gossip, count, now)
+
+	pick := picker.New(i.board, coster.New(holders), balancer.New(), holders, ward, count, now)
+	budget := budgeter.New()
+	streams := streamer.New(i.board, endpoints, pick, budget, count, now)
+	services := attempter.New(endpoints, pick, i.claims, budget, count, now)
+	i.server = server.New(i.board, i.limits, streams, services, count, now, settings.Body, settings.Header)
+	i.operator = operator.New(i, i.registry, settings.Key)
+	return i, nil
+}
+
+// Run serves until ctx ends, then lets the requests under way finish. When
+// hurry ends too, it returns at once.
+func (i *Instance) Run(ctx, hurry context.Context) error {
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	defer listeners.close()
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 3)
+	go func() { failed <- i.gossip.Serve(listeners.peer, i) }()
+	go func() { failed <- i.operator.Serve(listeners.operator) }()
+	go func() { failed <- i.server.Serve(listeners.caller) }()
+	go i.gossip.Run(background)
+	go i.follow.Run(background)
+	go i.probe.Run(background)
+	go i.share(background)
+	go i.keepStops(background)
+	i.log.Info("instance serving", zap.String("name", i.settings.Name), zap.String("caller", listeners.caller.Addr().String()))
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	return i.drain(hurry)
+}
+
+// drain takes the instance out of service without cutting a request.
+func (i *Instance) drain(hurry context.Context) error {
+	i.log.Info("instance stopping", zap.Int("flight", i.limits.Flight()))
+	i.board.Draining.Store(true)
+	i.gossip.News()
+	limit, cancel := context.WithTimeout(hurry, drainLimit)
+	defer cancel()
+	if !wait(limit, readyPause) {
+		return nil
+	}
+	err := i.server.Shutdown(limit)
+	flush, cancel := context.WithTimeout(hurry, flushLimit)
+	defer cancel()
+	i.claims.Flush(flush)
+	i.log.Info("instance stopped", zap.Int("flight", i.limits.Flight()))
+	return eris.Wrap(err, "finish requests")
+}
+
+// share divides the limits among the live instances of the data centre.
+func (i *Instance) share(ctx context.Context) {
+	for wait(ctx, shareEvery) {
+		near := 0
+		for _, member := range i.board.Members.Load() {
+			if member.DataCentre == i.settings.DataCentre && !member.Leaving {
+				near++
+			}
+		}
+		i.limits.Share(near)
+	}
+}
+
+// keepStops writes planned stops to the platform that it does not hold yet.
+func (i *Instance) keepStops(ctx context.Context) {
+	for wait(ctx, keepEvery) {
+		stops := i.board.Stops.Load()
+		if stops.Hash() == i.board.StopsKept.Load() {
+			continue
+		}
+		limit, cancel := context.WithTimeout(ctx, stopWrite)
+		if i.publish.Stops(limit, stops.List()...) == nil {
+			i.board.StopsKept.Store(stops.Hash())
+		}
+		cancel()
+	}
+}
+
+type listeners struct {
+	caller, operator, peer net.Listener
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.operator, l.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func (i *Instance) listen() (*listeners, error) {
+	open := &listeners{}
+	var err error
+	if open.peer, err = listen(i.settings.Peer, i.settings.PeerTLS.Server); err == nil {
+		if open.operator, err = listen(i.settings.Operator, i.settings.OperatorTLS.Server); err == nil {
+			open.caller, err = listen(i.settings.Caller, i.settings.CallerTLS.Server)
+		}
+	}
+	if err != nil {
+		open.close()
+		return nil, err
+	}
+	return open, nil
+}
+
+func listen(address string, secure func() (*tls.Config, error)) (net.Listener, error) {
+	config, err := secure()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return listener, nil
+}
+
+func peerDial(settings *configurer.Settings) (func(string) (net.Conn, error), error) {
+	secure, err := settings.PeerTLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	plain := net.Dialer{Timeout: dialTimeout}
+	return func(address string) (net.Conn, error) {
+		if secure == nil {
+			return plain.Dial("tcp", address)
+		}
+		config, err := secure()
+		if err != nil {
+			return nil, err
+		}
+		return tls.DialWithDialer(&plain, "tcp", address, config)
+	}, nil
+}
+
+// wait pauses and reports whether ctx has not ended.
+func wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Load reads the settings in the file named name.
+func Load(name string) (*configurer.Settings, error) {
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return configurer.New(source)
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,217 @@
+// Package operator answers operators and the platform's probes over HTTP.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/muter"
+
+	"wisteriadrum/decoder"
+	"wisteriadrum/follower"
+	"wisteriadrum/messenger"
+	"wisteriadrum/publisher"
+	"wisteriadrum/reporter"
+)
+
+const callTimeout = 20 * time.Second
+
+// Status is what an instance says of itself.
+type Status struct {
+	Instance   string             `json:"instance"`
+	DataCentre string             `json:"data_centre"`
+	Number     uint64             `json:"number"`
+	Digest     string             `json:"digest"`
+	Draining   bool               `json:"draining"`
+	Flight     int                `json:"flight"`
+	Members    []messenger.Member `json:"members"`
+	Endpoints  []Endpoint         `json:"endpoints"`
+}
+
+// Endpoint is what an instance knows of one endpoint.
+type Endpoint struct {
+	Name   string          `json:"name"`
+	Open   bool            `json:"open"`
+	Flight int             `json:"flight"`
+	Report reporter.Report `json:"report"`
+}
+
+// Node is what the operator interface needs of its instance.
+type Node interface {
+	// Ready reports whether new requests should be sent here.
+	Ready() bool
+	// Status describes the instance.
+	Status() Status
+	// Publish publishes a set, as publisher.Publisher does.
+	Publish(ctx context.Context, source []byte, base *uint64) (follower.Head, error)
+	// InForce returns how many live instances have number in force, of how many.
+	InForce(ctx context.Context, number uint64) (int, int)
+	// Stop begins or ends a planned stop.
+	Stop(ctx context.Context, name string, active bool) error
+}
+
+type operator struct {
+	node     Node
+	registry metrics.Registry
+	key      []byte
+}
+
+// New returns a server for operators. The key is the SHA-256 of the operator
+// key in hexadecimal; empty means that the listener is a loopback one and
+// asks for no key. Health, readiness and metrics never ask for it.
+func New(node Node, registry metrics.Registry, key string) *fasthttp.Server {
+	digest, _ := hex.DecodeString(key) // Settings.Check has decoded it before
+	o := &operator{node: node, registry: registry, key: digest}
+	return &fasthttp.Server{Handler: o.handle, NoDefaultServerHeader: true, Logger: muter.New()}
+}
+
+func (o *operator) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		o.ready(ctx)
+	case "/metrics":
+		o.prometheus(ctx)
+	case "/metrics.json":
+		ctx.SetContentType("application/json")
+		metrics.WriteJSONOnce(o.registry, ctx)
+	default:
+		o.guarded(ctx)
+	}
+}
+
+func (o *operator) guarded(ctx *fasthttp.RequestCtx) {
+	if !o.allowed(ctx) {
+		fail(ctx, fasthttp.StatusUnauthorized, "an operator key is required")
+		return
+	}
+	method, path := string(ctx.Method()), string(ctx.Path())
+	switch {
+	case method == "GET" && path == "/status":
+		reply(ctx, o.node.Status())
+	case method == "POST" && path == "/publish":
+		o.publish(ctx)
+	case method == "POST" && (path == "/stop" || path == "/unstop"):
+		o.stop(ctx, path == "/stop")
+	default:
+		fail(ctx, fasthttp.StatusNotFound, "no such operation")
+	}
+}
+
+func (o *operator) allowed(ctx *fasthttp.RequestCtx) bool {
+	if len(o.key) == 0 {
+		return true
+	}
+	given := strings.TrimPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	digest := sha256.Sum256([]byte(given))
+	return subtle.ConstantTimeCompare(digest[:], o.key) == 1
+}
+
+func (o *operator) ready(ctx *fasthttp.RequestCtx) {
+	if !o.node.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// Published is the answer to a publication.
+type Published struct {
+	Number  uint64 `json:"number"`
+	Digest  string `json:"digest"`
+	InForce int    `json:"in_force"`
+	Of      int    `json:"of"`
+}
+
+func (o *operator) publish(ctx *fasthttp.RequestCtx) {
+	base, err := baseOf(ctx)
+	if err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	limit, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	head, err := o.node.Publish(limit, ctx.PostBody(), base)
+	var problems decoder.Problems
+	var conflict *publisher.ErrConflict
+	switch {
+	case err == nil:
+		inForce, of := o.node.InForce(limit, head.Number)
+		reply(ctx, Published{Number: head.Number, Digest: head.Digest, InForce: inForce, Of: of})
+	case errors.As(err, &problems):
+		fail(ctx, fasthttp.StatusUnprocessableEntity, problems.Error())
+	case errors.As(err, &conflict):
+		fail(ctx, fasthttp.StatusConflict, conflict.Error())
+	default:
+		fail(ctx, fasthttp.StatusServiceUnavailable, fmt.Sprintf("the set may or may not come into force: %s", err))
+	}
+}
+
+func baseOf(ctx *fasthttp.RequestCtx) (*uint64, error) {
+	text := string(ctx.QueryArgs().Peek("base"))
+	if text == "" {
+		return nil, nil
+	}
+	base, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("base must be a number")
+	}
+	return &base, nil
+}
+
+func (o *operator) stop(ctx *fasthttp.RequestCtx, active bool) {
+	limit, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := o.node.Stop(limit, string(ctx.QueryArgs().Peek("name")), active); err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	ctx.SetBodyString("{}\n")
+}
+
+// prometheus writes the metrics in the Prometheus text format.
+func (o *operator) prometheus(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	var lines []string
+	o.registry.Each(func(name string, metric any) {
+		group, reason, _ := strings.Cut(name, ".")
+		switch metric := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("wisteriadrum_%s_total{reason=%q} %d", plain(group), reason, metric.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("wisteriadrum_%s %d", plain(name), metric.Value()))
+		case metrics.Histogram:
+			for _, quantile := range []float64{0.5, 0.95, 0.99} {
+				lines = append(lines, fmt.Sprintf("wisteriadrum_%s{quantile=\"%g\"} %g", plain(name), quantile, metric.Percentile(quantile)))
+			}
+		}
+	})
+	sort.Strings(lines)
+	ctx.SetBodyString(strings.Join(lines, "\n") + "\n")
+}
+
+func plain(name string) string { return strings.NewReplacer(".", "_", "-", "_").Replace(name) }
+
+func reply(ctx *fasthttp.RequestCtx, value any) {
+	ctx.SetContentType("application/json")
+	_ = json.NewEncoder(ctx).Encode(value) // writes to memory
+}
+
+func fail(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.SetStatusCode(status)
+	ctx.SetBodyString(text + "\n")
+}
--- /dev/null
+++ b/picker/picker.go
@@ -0,0 +1,129 @@
+// Package picker applies the policies to what the board says.
+package picker
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wisteriadrum/answerer"
+	"wisteriadrum/chooser"
+	"wisteriadrum/counter"
+	"wisteriadrum/grouper"
+	"wisteriadrum/identifier"
+	"wisteriadrum/judge"
+	"wisteriadrum/keeper"
+	"wisteriadrum/mapper"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/ranker"
+	"wisteriadrum/refuser"
+	"wisteriadrum/tracker"
+)
+
+const (
+	shunFirst = 500 * time.Millisecond
+	shunMost  = 8 * time.Second
+	noneWait  = time.Second
+)
+
+// Picker picks endpoints for requests and learns from their answers.
+type Picker struct {
+	board    *keeper.Board
+	engines  chooser.Policy
+	services chooser.Policy
+	holders  *mapper.Map
+	ward     *quarantiner.Ward
+	count    *counter.Counter
+	now      func() time.Time
+}
+
+// New returns a picker that uses one policy for engines and one for services.
+func New(board *keeper.Board, engines, services chooser.Policy, holders *mapper.Map, ward *quarantiner.Ward, count *counter.Counter, now func() time.Time) *Picker {
+	return &Picker{board: board, engines: engines, services: services, holders: holders, ward: ward, count: count, now: now}
+}
+
+// Pick returns an endpoint for request that is not among tried. The error is
+// a refusal that says that nothing has run.
+func (p *Picker) Pick(request *identifier.Request, tried []*tracker.Track) (chooser.Choice, error) {
+	now := p.now()
+	suspect, known := p.ward.Find(request.Fingerprint, now)
+	if known && suspect.Refused() {
+		return chooser.Choice{}, refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints and is refused until %s", len(suspect.Losses), suspect.Until.UTC().Format(time.RFC3339)).WithRetryAt(suspect.Until)
+	}
+	query := chooser.Query{
+		Chain: request.Chain, Now: now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		PerByte: request.Pool.Prefill, Weigh: request.Route.Weigh,
+		Barred: func(track *tracker.Track) bool { return barred(track, tried, suspect.Losses) },
+	}
+	tracks := p.board.Fleet.Load().Pool(request.Route.Pool)
+	choice := p.choose(query, request, tracks, known)
+	if choice.Track == nil {
+		return choice, refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s can take the request", request.Route.Pool).WithRetryAt(now.Add(noneWait))
+	}
+	p.count.Add("choice", choice.Reason)
+	return choice, nil
+}
+
+// Heard takes in the head of an answer from track.
+func (p *Picker) Heard(request *identifier.Request, track *tracker.Track, answer *answerer.Answer) {
+	now := p.now()
+	if answer.Incarnation != "" {
+		track.Answer(answer.Incarnation, answer.Queue, now, p.holders.Slot)
+	}
+	track.Restore()
+	if answer.Refused || request.Chain.Depth() == 0 {
+		return
+	}
+	slot := track.View().Slot
+	for _, level := range request.Chain.Levels() {
+		p.holders.Note(level, slot, now)
+	}
+}
+
+// Failed avoids track for a time that doubles with each failure.
+func (p *Picker) Failed(track *tracker.Track) {
+	pause := min(shunFirst<<min(track.Fault()-1, 8), shunMost)
+	track.Shun(p.now().Add(pause))
+}
+
+// Lost records that track's incarnation ended while it ran request.
+func (p *Picker) Lost(request *identifier.Request, track *tracker.Track, incarnation string) {
+	p.count.Add("quarantine", "losses")
+	loss := quarantiner.Loss{Endpoint: track.Endpoint.Name, Incarnation: incarnation}
+	p.ward.Lost(request.Fingerprint, loss, p.now())
+}
+
+// choose sends a suspect request to the endpoint that every instance would
+// pick, so that resends through several instances crash no further ones.
+func (p *Picker) choose(query chooser.Query, request *identifier.Request, tracks []*tracker.Track, suspect bool) chooser.Choice {
+	if !suspect {
+		if request.Pool.Kind == grouper.Service {
+			return p.services.Choose(query, tracks)
+		}
+		return p.engines.Choose(query, tracks)
+	}
+	var best chooser.Choice
+	var bestRank uint64
+	for _, track := range tracks {
+		if !query.Usable(track) {
+			continue
+		}
+		if rank := ranker.Rank(request.Fingerprint, track.Hash); best.Track == nil || rank > bestRank {
+			best, bestRank = chooser.Choice{Track: track, Reason: "suspect"}, rank
+		}
+	}
+	return best
+}
+
+func barred(track *tracker.Track, tried []*tracker.Track, losses []quarantiner.Loss) bool {
+	for _, other := range tried {
+		if other == track {
+			return true
+		}
+	}
+	for _, loss := range losses {
+		if loss.Endpoint == track.Endpoint.Name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/refuser/refusal.go
@@ -0,0 +1,98 @@
+// Package refuser describes why a request was not answered.
+package refuser
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriadrum/judge"
+)
+
+// Code names the kind of a refusal. Each code has a counter.
+type Code string
+
+// The codes, each with the HTTP status that Status returns for it.
+const (
+	BadRequest    Code = "bad-request"
+	Unauthorized  Code = "unauthorized"
+	Forbidden     Code = "forbidden"
+	NoRoute       Code = "no-route"
+	TooLarge      Code = "too-large"
+	TooDeep       Code = "too-deep"
+	RateLimited   Code = "rate-limited"
+	Overloaded    Code = "overloaded"
+	NoEndpoint    Code = "no-endpoint"
+	NoSet         Code = "no-set"
+	Stopping      Code = "stopping"
+	Quarantined   Code = "quarantined"
+	KeyRequired   Code = "key-required"
+	KeyReused     Code = "key-reused"
+	InDoubt       Code = "in-doubt"
+	ClaimFailed   Code = "claim-failed"
+	UpstreamLost  Code = "upstream-lost"
+	UpstreamBusy  Code = "upstream-busy"
+	WrongWeights  Code = "wrong-weights"
+	AnswerCrossed Code = "answer-crossed"
+	AnswerLost    Code = "answer-lost"
+	Timeout       Code = "timeout"
+	CallerGone    Code = "caller-gone"
+	Rejected      Code = "rejected"
+)
+
+var statuses = map[Code]int{
+	BadRequest: 400, Unauthorized: 401, Forbidden: 403, NoRoute: 404,
+	TooLarge: 413, TooDeep: 413, RateLimited: 429, Overloaded: 503,
+	NoEndpoint: 503, NoSet: 503, Stopping: 503, Quarantined: 422,
+	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503,
+	UpstreamLost: 502, UpstreamBusy: 503, WrongWeights: 503,
+	AnswerCrossed: 502, AnswerLost: 502, Timeout: 504, CallerGone: 499,
+	Rejected: 400,
+}
+
+// Codes returns every code.
+func Codes() []Code {
+	codes := make([]Code, 0, len(statuses))
+	for code := range statuses {
+		codes = append(codes, code)
+	}
+	return codes
+}
+
+// Refusal is an error that carries a code, a reason and a verdict.
+// RetryAt is the earliest time of a useful retry, or zero.
+type Refusal struct {
+	Code    Code
+	Reason  string
+	Ran     judge.Verdict
+	RetryAt time.Time
+}
+
+// New returns a refusal with code, verdict and a formatted reason.
+func New(code Code, ran judge.Verdict, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Ran: ran, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the code, the reason and the verdict.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (%s)", r.Code, r.Reason, r.Ran)
+}
+
+// Verdict returns whether the refused request may have run.
+func (r *Refusal) Verdict() judge.Verdict { return r.Ran }
+
+// Status returns the HTTP status for the refusal's code.
+func (r *Refusal) Status() int { return statuses[r.Code] }
+
+// WithRetryAt returns a copy of r with the earliest time of a useful retry.
+func (r *Refusal) WithRetryAt(at time.Time) *Refusal {
+	next := *r
+	next.RetryAt = at
+	return &next
+}
+
+// WithVerdict returns a copy of r with another verdict.
+func (r *Refusal) WithVerdict(ran judge.Verdict) *Refusal {
+	next := *r
+	next.Ran = ran
+	return &next
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,287 @@
+// Package server answers callers over HTTP.
+package server
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/muter"
+
+	"wisteriadrum/attempter"
+	"wisteriadrum/chunker"
+	"wisteriadrum/counter"
+	"wisteriadrum/grouper"
+	"wisteriadrum/identifier"
+	"wisteriadrum/judge"
+	"wisteriadrum/keeper"
+	"wisteriadrum/limiter"
+	"wisteriadrum/recorder"
+	"wisteriadrum/refuser"
+	"wisteriadrum/streamer"
+)
+
+// Header fields of the caller interface.
+const (
+	HeaderRequest = "X-Request-Id"
+	HeaderVerdict = "X-Verdict"
+	HeaderKey     = "Idempotency-Key"
+)
+
+const (
+	eventStream   = "text/event-stream"
+	serviceLimit  = 2 * time.Minute // of one request to a plain service
+	keepAliveTime = time.Minute
+)
+
+// Server answers callers with what the data path brings.
+type Server struct {
+	board    *keeper.Board
+	limits   *limiter.Limiter
+	streams  *streamer.Streamer
+	services *attempter.Attempter
+	count    *counter.Counter
+	now      func() time.Time
+	http     *fasthttp.Server
+}
+
+// New returns a server that takes bodies and headers of at most so many bytes.
+func New(board *keeper.Board, limits *limiter.Limiter, streams *streamer.Streamer, services *attempter.Attempter, count *counter.Counter, now func() time.Time, maxBody, maxHeader int) *Server {
+	s := &Server{board: board, limits: limits, streams: streams, services: services, count: count, now: now}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          s.malformed,
+		MaxRequestBodySize:    maxBody,
+		ReadBufferSize:        maxHeader,
+		IdleTimeout:           keepAliveTime,
+		NoDefaultServerHeader: true, Logger: muter.New(),
+		CloseOnShutdown: true,
+	}
+	return s
+}
+
+// Serve answers callers on listener until it is closed.
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+
+// Shutdown ends after the requests under way, or with ctx.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	input := s.input(ctx)
+	ctx.Response.Header.Set(HeaderRequest, input.ID)
+	request, err := identifier.New(input, s.board.Index.Load())
+	if err != nil {
+		s.refuse(ctx, input.ID, err)
+		return
+	}
+	release, err := s.limits.Admit(request.Workspace, input.At)
+	if err != nil {
+		s.refuse(ctx, input.ID, err)
+		return
+	}
+	s.count.Add("requests", request.Route.Name)
+	switch {
+	case request.Pool.Kind == grouper.Service:
+		defer release()
+		s.service(ctx, request)
+	case request.Prompt.Stream:
+		s.stream(ctx, request, release)
+	default:
+		defer release()
+		s.whole(ctx, request)
+	}
+}
+
+func (s *Server) input(ctx *fasthttp.RequestCtx) identifier.Input {
+	head := &ctx.Request.Header
+	return identifier.Input{
+		ID:            uuid.NewString(),
+		Method:        string(ctx.Method()),
+		Path:          string(ctx.Path()),
+		Query:         string(ctx.URI().QueryString()),
+		ContentType:   string(head.ContentType()),
+		Authorization: string(head.Peek(fasthttp.HeaderAuthorization)),
+		Key:           string(head.Peek(HeaderKey)),
+		LastEvent:     string(head.Peek("Last-Event-ID")),
+		Body:          append([]byte(nil), ctx.PostBody()...),
+		At:            s.now(),
+	}
+}
+
+func (s *Server) service(ctx *fasthttp.RequestCtx, request *identifier.Request) {
+	limit, cancel := context.WithTimeout(context.Background(), serviceLimit)
+	defer cancel()
+	answer, err := s.services.Run(limit, request)
+	if err != nil {
+		s.refuse(ctx, request.ID, err)
+		return
+	}
+	s.answer(ctx, answer)
+}
+
+func (s *Server) answer(ctx *fasthttp.RequestCtx, answer recorder.Answer) {
+	s.count.Add("answers", "whole")
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.ContentType)
+	ctx.Response.Header.Set(HeaderVerdict, judge.Ran.String())
+	ctx.SetBody(answer.Body)
+}
+
+func (s *Server) whole(ctx *fasthttp.RequestCtx, request *identifier.Request) {
+	var sink gatherer
+	if err := s.streams.Run(context.Background(), request, &sink); err != nil {
+		s.refuse(ctx, request.ID, err)
+		return
+	}
+	body := chunker.Whole(sink.chunks, request.Prompt.Chat()).Encode()
+	s.answer(ctx, recorder.Answer{Status: fasthttp.StatusOK, ContentType: "application/json", Body: body})
+}
+
+// gatherer is a sink that keeps a whole answer.
+type gatherer struct {
+	chunks []chunker.Chunk
+}
+
+func (g *gatherer) Send(_ string, chunk chunker.Chunk) error {
+	g.chunks = append(g.chunks, chunk)
+	return nil
+}
+
+// stream waits for the first chunk, so that a refusal keeps its own status,
+// and passes on the rest as it comes.
+func (s *Server) stream(ctx *fasthttp.RequestCtx, request *identifier.Request, release func()) {
+	limit, cancel := context.WithCancel(context.Background())
+	sink := &pipe{events: make(chan event), gone: limit.Done()}
+	go func() {
+		defer release()
+		sink.err = s.streams.Run(limit, request, sink)
+		close(sink.events)
+	}()
+	first, ok := <-sink.events
+	if !ok && sink.err != nil {
+		cancel()
+		s.refuse(ctx, request.ID, sink.err)
+		return
+	}
+	ctx.SetContentType(eventStream)
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
+	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
+		defer cancel()
+		if ok && !first.write(writer) {
+			return
+		}
+		for event := range sink.events {
+			if !event.write(writer) {
+				return
+			}
+		}
+		s.end(writer, request.ID, sink.err)
+	})
+}
+
+// end closes a stream as complete, or with an event that says why it is not.
+func (s *Server) end(writer *bufio.Writer, id string, err error) {
+	if err == nil {
+		s.count.Add("answers", "streamed")
+		_, _ = writer.WriteString("data: " + chunker.Done + "\n\n")
+	} else {
+		refusal := s.counted(err)
+		_, _ = writer.WriteString("event: error\ndata: ")
+		_, _ = writer.Write(encode(refusal, id))
+		_, _ = writer.WriteString("\n\n")
+	}
+	_ = writer.Flush()
+}
+
+// pipe is a sink that hands events to the writer of a response.
+type pipe struct {
+	events chan event
+	gone   <-chan struct{}
+	err    error // set before events is closed
+}
+
+type event struct {
+	position string
+	data     []byte
+}
+
+var errGone = errors.New("the caller has gone")
+
+func (p *pipe) Send(position string, chunk chunker.Chunk) error {
+	select {
+	case p.events <- event{position: position, data: chunk.Encode()}:
+		return nil
+	case <-p.gone:
+		return errGone
+	}
+}
+
+func (e event) write(writer *bufio.Writer) bool {
+	_, _ = writer.WriteString("id: " + e.position + "\ndata: ")
+	_, _ = writer.Write(e.data)
+	_, _ = writer.WriteString("\n\n")
+	return writer.Flush() == nil
+}
+
+func (s *Server) counted(err error) *refuser.Refusal {
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "%s", err)
+	}
+	s.count.Add("refusal", string(refusal.Code))
+	return refusal
+}
+
+// refuse answers with the reason, the verdict and the time of a useful retry.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, id string, err error) {
+	refusal := s.counted(err)
+	ctx.SetStatusCode(refusal.Status())
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(HeaderVerdict, refusal.Ran.String())
+	if !refusal.RetryAt.IsZero() {
+		seconds := math.Ceil(max(refusal.RetryAt.Sub(s.now()).Seconds(), 1))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+	}
+	ctx.SetBody(encode(refusal, id))
+}
+
+// malformed answers requests that could not be read.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	code := refuser.BadRequest
+	var small *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
+		code = refuser.TooLarge
+	}
+	s.refuse(ctx, "", refuser.New(code, judge.NotRun, "the request could not be read: %s", strings.TrimSpace(err.Error())))
+}
+
+type wireRefusal struct {
+	Error wireReason `json:"error"`
+}
+
+type wireReason struct {
+	Code    refuser.Code  `json:"code"`
+	Reason  string        `json:"message"`
+	Verdict judge.Verdict `json:"verdict"`
+	Request string        `json:"request,omitempty"`
+	RetryAt time.Time     `json:"retry_at,omitzero"`
+}
+
+func encode(refusal *refuser.Refusal, id string) []byte {
+	encoded, err := json.Marshal(wireRefusal{Error: wireReason{
+		Code: refusal.Code, Reason: refusal.Reason, Verdict: refusal.Ran, Request: id, RetryAt: refusal.RetryAt,
+	}})
+	if err != nil {
+		panic(err) // every field has a JSON form
+	}
+	return encoded
+}
--- /dev/null
+++ b/stager/stage.go
@@ -0,0 +1,281 @@
+// Package stager runs a whole deployment of stand-ins and instances in one
+// process on loopback, for the demo and for tests.
+package stager
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"wisteriadrum"
+	"wisteriadrum/booker"
+	"wisteriadrum/cataloguer"
+	"wisteriadrum/configurer"
+	"wisteriadrum/director"
+	"wisteriadrum/generator"
+	"wisteriadrum/grouper"
+	"wisteriadrum/host"
+	"wisteriadrum/inferrer"
+	"wisteriadrum/storekeeper"
+	"wisteriadrum/tenant"
+	"wisteriadrum/worker"
+)
+
+// Options describe a deployment.
+type Options struct {
+	DataCentres []string
+	// Instances and Engines are counted per data centre.
+	Instances  int
+	Engines    int
+	Services   int // in all
+	Workspaces int
+	Engine     inferrer.Options
+	Weigh      director.Weigh
+	// Change, if set, changes the set before it is published.
+	Change func(*cataloguer.Set)
+	Log    *zap.Logger
+}
+
+// Names of the objects that every stage has.
+const (
+	Model   = "lingua"
+	Booking = "/book"
+	Stock   = "/stock"
+)
+
+const readyWithin = 15 * time.Second
+
+// Stage is a running deployment.
+type Stage struct {
+	Platform  *storekeeper.Platform
+	Engines   []*Engine
+	Services  []*booker.Service
+	Instances []*Node
+	Set       *cataloguer.Set
+
+	options  Options
+	address  string // of the platform
+	closing  []func()
+	finished sync.WaitGroup
+}
+
+// Engine is an engine that can be crashed and started again at its address.
+type Engine struct {
+	*inferrer.Engine
+	Name    string
+	Address string
+	options inferrer.Options
+}
+
+// Node is an instance with its addresses.
+type Node struct {
+	*wisteriadrum.Instance
+	Settings *configurer.Settings
+	stop     context.CancelFunc
+	hurry    context.CancelFunc
+	done     chan struct{}
+}
+
+// New starts a deployment and publishes its set.
+func New(options Options) (*Stage, error) {
+	s := &Stage{options: options, Platform: storekeeper.New(time.Now)}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Key returns the bearer key of a workspace.
+func Key(workspace int) string { return fmt.Sprintf("key-%d", workspace) }
+
+// Callers returns the callers' addresses of all instances.
+func (s *Stage) Callers() []string {
+	var addresses []string
+	for _, node := range s.Instances {
+		addresses = append(addresses, node.Settings.Caller)
+	}
+	return addresses
+}
+
+// Restart starts a crashed engine again, with an empty cache.
+func (s *Stage) Restart(engine *Engine) error {
+	options := engine.options
+	options.Crash = func() { engine.Engine.Crash() }
+	engine.Engine = inferrer.New(options)
+	return s.serve(engine.Address, engine.Engine.Serve)
+}
+
+// Add starts another instance in a data centre.
+func (s *Stage) Add(dataCentre string) (*Node, error) {
+	settings := &configurer.Settings{
+		Name: fmt.Sprintf("%s-%d", dataCentre, len(s.Instances)+1), DataCentre: dataCentre,
+		Caller: Free(), Operator: Free(), Peer: Free(), Table: s.address, Objects: s.address, List: s.address,
+	}
+	for _, node := range s.Instances {
+		settings.Peers = append(settings.Peers, node.Settings.Peer)
+	}
+	node, err := s.Start(settings.WithDefaults())
+	if err == nil {
+		s.Instances = append(s.Instances, node)
+	}
+	return node, err
+}
+
+// Start starts an instance by settings.
+func (s *Stage) Start(settings *configurer.Settings) (*Node, error) {
+	instance, err := wisteriadrum.New(settings, s.options.Log)
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{Instance: instance, Settings: settings, done: make(chan struct{})}
+	ctx, stop := context.WithCancel(context.Background())
+	hurry, hurried := context.WithCancel(context.Background())
+	node.stop, node.hurry = stop, hurried
+	s.finished.Go(func() {
+		defer close(node.done)
+		if err := instance.Run(ctx, hurry); err != nil {
+			s.options.Log.Error("instance ended", zap.Error(err))
+		}
+	})
+	return node, nil
+}
+
+// Stop begins the planned stop of the instance; the channel tells its end.
+func (n *Node) Stop() <-chan struct{} {
+	n.stop()
+	return n.done
+}
+
+// Kill ends the instance at once.
+func (n *Node) Kill() {
+	n.stop()
+	n.hurry()
+	<-n.done
+}
+
+// Close stops everything.
+func (s *Stage) Close() {
+	for _, node := range s.Instances {
+		node.stop()
+		node.hurry()
+	}
+	s.finished.Wait()
+	for _, end := range s.closing {
+		end()
+	}
+}
+
+// Ready waits until all instances are ready for requests.
+func (s *Stage) Ready() error {
+	deadline := time.Now().Add(readyWithin)
+	for _, node := range s.Instances {
+		for !node.Ready() {
+			if time.Now().After(deadline) {
+				return eris.Errorf("instance %s is not ready", node.Settings.Name)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (s *Stage) start() error {
+	s.address = Free()
+	if err := s.serve(s.address, s.Platform.Serve); err != nil {
+		return err
+	}
+	s.Set = s.describe()
+	if err := s.startEndpoints(); err != nil {
+		return err
+	}
+	if s.options.Change != nil {
+		s.options.Change(s.Set)
+	}
+	for _, dataCentre := range s.options.DataCentres {
+		for range s.options.Instances {
+			if _, err := s.Add(dataCentre); err != nil {
+				return err
+			}
+		}
+	}
+	if _, err := s.Instances[0].Publish(context.Background(), s.Set.Encode(), nil); err != nil {
+		return err
+	}
+	return s.Ready()
+}
+
+// describe returns the set without its endpoints.
+func (s *Stage) describe() *cataloguer.Set {
+	options := s.options
+	set := &cataloguer.Set{
+		Models: []generator.Model{{Name: Model, Versions: []string{"v1", "v2"}, Piece: options.Engine.Piece}},
+		Pools: []grouper.Pool{
+			{Name: "hall", Kind: grouper.Engine, Model: Model, Version: "v1", Continues: true, Prefill: options.Engine.PerByte},
+			{Name: "office", Kind: grouper.Service},
+		},
+		Routes: []director.Route{
+			{Name: "contracts", Pool: "hall", Model: Model, Weigh: options.Weigh},
+			{Name: "booking", Pool: "office", Prefix: Booking, Once: true},
+			{Name: "stock", Pool: "office", Prefix: Stock},
+		},
+	}
+	for _, dataCentre := range options.DataCentres {
+		set.DataCentres = append(set.DataCentres, host.DataCentre{Name: dataCentre, Region: "region"})
+	}
+	for i := range options.Workspaces {
+		digest := sha256.Sum256([]byte(Key(i)))
+		set.Workspaces = append(set.Workspaces, tenant.Workspace{Name: fmt.Sprintf("workspace-%d", i), Key: hex.EncodeToString(digest[:])})
+	}
+	return set
+}
+
+func (s *Stage) startEndpoints() error {
+	for _, dataCentre := range s.options.DataCentres {
+		for i := range s.options.Engines {
+			engine := &Engine{Name: fmt.Sprintf("%s-engine-%d", dataCentre, i+1), Address: Free(), options: s.options.Engine}
+			if err := s.Restart(engine); err != nil {
+				return err
+			}
+			s.Engines = append(s.Engines, engine)
+			s.Set.Endpoints = append(s.Set.Endpoints, worker.Endpoint{Name: engine.Name, Pool: "hall", DataCentre: dataCentre, Address: engine.Address})
+		}
+	}
+	for i := range s.options.Services {
+		service, address := booker.New(), Free()
+		if err := s.serve(address, service.Serve); err != nil {
+			return err
+		}
+		s.Services = append(s.Services, service)
+		dataCentre := s.options.DataCentres[i%len(s.options.DataCentres)]
+		s.Set.Endpoints = append(s.Set.Endpoints, worker.Endpoint{Name: fmt.Sprintf("office-%d", i+1), Pool: "office", DataCentre: dataCentre, Address: address})
+	}
+	return nil
+}
+
+func (s *Stage) serve(address string, run func(net.Listener) error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	s.closing = append(s.closing, func() { _ = listener.Close() })
+	go func() { _ = run(listener) }() // ends when the listener is closed
+	return nil
+}
+
+// Free returns a loopback address with a port that was free just now.
+func Free() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err) // no port is left on this machine
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/stopper/list.go
@@ -0,0 +1,34 @@
+package stopper
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// List returns all stops by name, those that have ended included.
+func (s Stops) List() []Stop {
+	list := make([]Stop, 0, len(s.byName))
+	for _, stop := range s.byName {
+		list = append(list, stop)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Encode returns the JSON form of s.
+func (s Stops) Encode() []byte {
+	encoded, err := json.Marshal(s.List())
+	if err != nil {
+		panic(err) // every field of a Stop has a JSON form
+	}
+	return encoded
+}
+
+func (s Stops) sum() uint64 {
+	if len(s.byName) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(s.Encode())
+}
--- /dev/null
+++ b/storekeeper/platform.go
@@ -0,0 +1,233 @@
+// Package storekeeper is a stand-in for the platform: the table service, the
+// object store and the instance list in one process, with their outages.
+package storekeeper
+
+import (
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wisteriadrum/muter"
+
+	"wisteriadrum/lister"
+	"wisteriadrum/severer"
+	"wisteriadrum/tabler"
+)
+
+// Faults are the ways in which the platform fails just now.
+type Faults struct {
+	// Down refuses everything.
+	Down bool `json:"down"`
+	// Slow delays every answer by so many milliseconds.
+	Slow int `json:"slow"`
+	// Lose commits the next so many transactions and loses their answers.
+	Lose int `json:"lose"`
+	// Late loses the next so many transactions and commits them after Hold
+	// milliseconds.
+	Late int `json:"late"`
+	Hold int `json:"hold"`
+	// Pace is the time of one transaction in microseconds.
+	Pace int `json:"pace"`
+}
+
+// Platform holds rows, objects and the list in memory.
+type Platform struct {
+	http *fasthttp.Server
+	now  func() time.Time
+
+	mu           sync.Mutex
+	faults       Faults
+	rows         map[string]tabler.Row
+	objects      map[string][]byte
+	entries      map[string]lister.Entry
+	transactions int
+	pace         sync.Mutex
+}
+
+// New returns an empty platform that tells the time by now.
+func New(now func() time.Time) *Platform {
+	p := &Platform{now: now, rows: map[string]tabler.Row{}, objects: map[string][]byte{}, entries: map[string]lister.Entry{}}
+	p.http = &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, Logger: muter.New()}
+	return p
+}
+
+// Serve answers on listener until it is closed.
+func (p *Platform) Serve(listener net.Listener) error { return p.http.Serve(severer.New(listener)) }
+
+// Fail sets the faults in force from now on.
+func (p *Platform) Fail(faults Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
+}
+
+// List sets an entry of the instance list.
+func (p *Platform) List(entry lister.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries[entry.Name] = entry
+}
+
+// Transactions returns the number of transactions asked for.
+func (p *Platform) Transactions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.transactions
+}
+
+// Read returns the current rows of keys.
+func (p *Platform) Read(keys ...string) []tabler.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := make([]tabler.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = p.row(key)
+	}
+	return rows
+}
+
+// Transact commits all writes or returns the rows that stand in the way.
+func (p *Platform) Transact(writes []tabler.Write) []tabler.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conflicts := []tabler.Row{}
+	for _, write := range writes {
+		if row := p.row(write.Key); row.Version != write.Version {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return conflicts
+	}
+	for _, write := range writes {
+		p.rows[write.Key] = tabler.Row{Key: write.Key, Value: write.Value, Version: write.Version + 1, Expires: write.Expires}
+	}
+	return conflicts
+}
+
+func (p *Platform) row(key string) tabler.Row {
+	row, ok := p.rows[key]
+	if !ok || !row.Expires.IsZero() && row.Expires.Before(p.now()) {
+		return tabler.Row{Key: key}
+	}
+	return row
+}
+
+func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if path == "/fault" {
+		p.handleFault(ctx)
+		return
+	}
+	p.mu.Lock()
+	faults := p.faults
+	p.mu.Unlock()
+	time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
+	if faults.Down {
+		_ = ctx.Conn().Close()
+		return
+	}
+	switch {
+	case path == "/v1/table/read":
+		p.handleRead(ctx)
+	case path == "/v1/table/transact":
+		p.handleTransact(ctx)
+	case path == "/v1/instances":
+		p.handleList(ctx)
+	case strings.HasPrefix(path, "/v1/objects/"):
+		p.handleObject(ctx, strings.TrimPrefix(path, "/v1/objects/"))
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Platform) handleFault(ctx *fasthttp.RequestCtx) {
+	var faults Faults
+	if decode(ctx, &faults) {
+		p.Fail(faults)
+	}
+}
+
+func (p *Platform) handleRead(ctx *fasthttp.RequestCtx) {
+	var keys []string
+	if decode(ctx, &keys) {
+		encode(ctx, p.Read(keys...))
+	}
+}
+
+func (p *Platform) handleTransact(ctx *fasthttp.RequestCtx) {
+	var writes []tabler.Write
+	if !decode(ctx, &writes) {
+		return
+	}
+	p.mu.Lock()
+	p.transactions++
+	faults := p.faults
+	p.faults.Lose = max(faults.Lose-1, 0)
+	if faults.Lose == 0 {
+		p.faults.Late = max(faults.Late-1, 0)
+	}
+	p.mu.Unlock()
+	p.pace.Lock()
+	time.Sleep(time.Duration(faults.Pace) * time.Microsecond)
+	p.pace.Unlock()
+	switch {
+	case faults.Lose > 0:
+		p.Transact(writes)
+		_ = ctx.Conn().Close()
+	case faults.Late > 0:
+		time.AfterFunc(time.Duration(faults.Hold)*time.Millisecond, func() { p.Transact(writes) })
+		_ = ctx.Conn().Close()
+	default:
+		encode(ctx, p.Transact(writes))
+	}
+}
+
+func (p *Platform) handleList(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPost() {
+		var entry lister.Entry
+		if decode(ctx, &entry) {
+			p.List(entry)
+		}
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entries := make([]lister.Entry, 0, len(p.entries))
+	for _, entry := range p.entries {
+		entries = append(entries, entry)
+	}
+	encode(ctx, entries)
+}
+
+func (p *Platform) handleObject(ctx *fasthttp.RequestCtx, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ctx.IsPut() {
+		p.objects[name] = append([]byte(nil), ctx.PostBody()...)
+		return
+	}
+	body, ok := p.objects[name]
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+func decode(ctx *fasthttp.RequestCtx, target any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), target); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(ctx *fasthttp.RequestCtx, value any) {
+	ctx.SetContentType("application/json")
+	_ = json.NewEncoder(ctx).Encode(value) // writes to memory
+}
--- /dev/null
+++ b/streamer/streamer.go
@@ -0,0 +1,152 @@
+// Package streamer brings a generated answer to its caller complete and in
+// order, over lost connections and lost engines.
+package streamer
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"wisteriadrum/budgeter"
+	"wisteriadrum/counter"
+	"wisteriadrum/dialer"
+	"wisteriadrum/identifier"
+	"wisteriadrum/judge"
+	"wisteriadrum/keeper"
+	"wisteriadrum/picker"
+	"wisteriadrum/refuser"
+	"wisteriadrum/tracker"
+)
+
+const (
+	maxMoves   = 6 // endpoints tried for one request
+	maxResumes = 3 // connections without a new event to one endpoint
+	movePause  = 20 * time.Millisecond
+)
+
+// Streamer runs model requests.
+type Streamer struct {
+	board  *keeper.Board
+	dialer dialer.Dialer
+	picker *picker.Picker
+	budget *budgeter.Budget
+	count  *counter.Counter
+	now    func() time.Time
+}
+
+// New returns a streamer.
+func New(board *keeper.Board, dial dialer.Dialer, pick *picker.Picker, budget *budgeter.Budget, count *counter.Counter, now func() time.Time) *Streamer {
+	return &Streamer{board: board, dialer: dial, picker: pick, budget: budget, count: count, now: now}
+}
+
+// generation is a request on its way through one or more attempts.
+type generation struct {
+	request *identifier.Request
+	sink    Sink
+	text    strings.Builder // relayed
+	tokens  int             // chunks with text relayed
+	tried   []*tracker.Track
+	moves   int
+	begun   time.Time
+	worst   judge.Verdict // over all attempts
+}
+
+// Run sends request to an engine and its answer to sink, and moves to other
+// engines as needed. It returns nil only after a complete answer.
+func (s *Streamer) Run(ctx context.Context, request *identifier.Request, sink Sink) error {
+	g := &generation{request: request, sink: sink, begun: s.now()}
+	if request.LastEvent != "" {
+		return s.resume(ctx, g)
+	}
+	for {
+		choice, err := s.picker.Pick(request, g.tried)
+		if err != nil {
+			return g.verdict(err)
+		}
+		outcome, err := s.attempt(ctx, g, choice.Track, choice.Depth)
+		if outcome == finished {
+			s.budget.Earn()
+			return nil
+		}
+		if outcome == failed {
+			return err
+		}
+		if err := s.move(ctx, g, choice.Track, err); err != nil {
+			return err
+		}
+	}
+}
+
+// move decides whether the request goes on at another endpoint after cause.
+func (s *Streamer) move(ctx context.Context, g *generation, from *tracker.Track, cause error) error {
+	g.tried = append(g.tried, from)
+	g.moves++
+	switch {
+	case g.tokens > 0 && !g.request.Pool.Continues:
+		return refuser.New(refuser.UpstreamLost, judge.Ran, "the engine was lost after %d tokens: %s", g.tokens, cause)
+	case ctx.Err() != nil:
+		return refuser.New(refuser.CallerGone, max(g.worst, judge.NotRun), "the caller has gone")
+	case g.moves >= maxMoves, !s.budget.Spend():
+		s.count.Add("retry", "exhausted")
+		return g.verdict(cause)
+	}
+	s.count.Add("retry", string(codeOf(cause)))
+	time.Sleep(movePause)
+	return nil
+}
+
+// resume goes on with an answer that the caller lost.
+func (s *Streamer) resume(ctx context.Context, g *generation) error {
+	at, err := parsePosition(g.request.LastEvent)
+	if err != nil {
+		return err
+	}
+	track := s.board.Fleet.Load().Track(at.endpoint)
+	if track == nil || track.Endpoint.Pool != g.request.Route.Pool {
+		return refuser.New(refuser.AnswerLost, judge.Ran, "endpoint %q, which holds the answer, is not configured", at.endpoint)
+	}
+	s.count.Add("stream", "resumed-by-caller")
+	a := s.newAttempt(ctx, g, track, at.attempt)
+	a.sequence = at.sequence
+	a.adopted = true
+	a.incarnation = ""
+	a.call = a.call.WithResume(at.sequence, s.now())
+	outcome, err := a.run()
+	if outcome == finished {
+		return nil
+	}
+	if outcome == moved {
+		return refuser.New(refuser.AnswerLost, judge.Ran, "the rest of the answer is lost: %s", err)
+	}
+	return err
+}
+
+func (s *Streamer) attempt(ctx context.Context, g *generation, track *tracker.Track, depth int) (outcome, error) {
+	name := fmt.Sprintf("%s-%d", g.request.ID, g.moves)
+	a := s.newAttempt(ctx, g, track, name)
+	a.bytes = g.request.Chain.Missing(min(depth, g.request.Chain.Depth()))
+	track.Begin(a.bytes)
+	defer track.End()
+	defer a.heardFirst()
+	return a.run()
+}
+
+// verdict returns err with the verdict of the whole generation.
+func (g *generation) verdict(err error) error {
+	refusal, ok := err.(*refuser.Refusal)
+	if !ok {
+		return err
+	}
+	if g.tokens > 0 {
+		return refusal.WithVerdict(judge.Ran)
+	}
+	return refusal.WithVerdict(max(refusal.Ran, g.worst))
+}
+
+func codeOf(err error) refuser.Code {
+	if refusal, ok := err.(*refuser.Refusal); ok {
+		return refusal.Code
+	}
+	return refuser.UpstreamLost
+}
