Prove streams, claims and quarantine over whole deployments

Cause: the properties of whole answers and at most once had no tests. The first runs found four faults: endpoints that all refused once were not asked again; services that all failed once were avoided although there were no others; a crashing request cost six engines, because other instances heard of its crashes only with the next gossip; a test took a refusal for an answer.

Ruled out: a longer list of endpoints to try for the first two (they were known, and wrongly barred); a slower retry for the third (the resend comes by another instance, which has nothing to wait for).

Change: a second round over endpoints that refused, a last pass over endpoints that failed lately, and an alarm that tells the others of a crash before the request is tried again.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -22,10 +22,12 @@
 )
 
 const (
-	maxMoves  = 6
-	maxAnswer = 16 << 20 // bytes
-	movePause = 20 * time.Millisecond
-	identity  = -2 // length of a body that ends with its connection
+	maxMoves   = 6
+	maxAnswer  = 16 << 20 // bytes
+	movePause  = 20 * time.Millisecond
+	maxRounds  = 2 // over all endpoints, after the first
+	roundPause = 50 * time.Millisecond
+	identity   = -2 // length of a body that ends with its connection
 )
 
 // Attempter runs requests at plain services.
@@ -61,22 +63,31 @@
 func (a *Attempter) attempts(request *identifier.Request, sendBy time.Time) (recorder.Answer, error) {
 	var tried []*tracker.Track
 	worst := judge.NotRun
+	moves, rounds := 0, 0
 	for {
 		choice, err := a.picker.Pick(request, tried)
+		if err != nil && len(tried) > 0 && rounds < maxRounds {
+			rounds++
+			tried = nil
+			a.count.Add("retry", "round")
+			time.Sleep(roundPause << rounds)
+			continue
+		}
 		if err != nil {
 			return recorder.Answer{}, withVerdict(err, worst)
 		}
-		answer, err := a.attempt(request, choice.Track, len(tried), sendBy)
+		answer, err := a.attempt(request, choice.Track, moves, sendBy)
 		if err == nil {
 			a.budget.Earn()
 			return answer, nil
 		}
 		worst = max(worst, judge.Of(err))
 		tried = append(tried, choice.Track)
+		moves++
 		if request.Route.Once && worst != judge.NotRun {
 			return recorder.Answer{}, err
 		}
-		if len(tried) >= maxMoves || !a.budget.Spend() {
+		if moves >= maxMoves || !a.budget.Spend() {
 			a.count.Add("retry", "exhausted")
 			return recorder.Answer{}, withVerdict(err, worst)
 		}
--- a/chooser/policy.go
+++ b/chooser/policy.go
@@ -22,6 +22,9 @@
 	// Barred reports endpoints that must not be chosen, such as those tried
 	// before. It may be nil.
 	Barred func(*tracker.Track) bool
+	// Desperate lets endpoints be chosen that failed lately, because there are
+	// no others.
+	Desperate bool
 }
 
 // Choice is the endpoint chosen, nil if none is open.
@@ -40,5 +43,6 @@
 
 // Usable reports whether track may be chosen for q.
 func (q Query) Usable(track *tracker.Track) bool {
-	return track.Open(q.Now) && (q.Barred == nil || !q.Barred(track))
+	open := track.Open(q.Now) || q.Desperate && !track.Leaving()
+	return open && (q.Barred == nil || !q.Barred(track))
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -29,9 +29,12 @@
 	deadAfter = 12 * time.Second
 	// forgetAfter is the time after which it is not even asked any more.
 	forgetAfter = 10 * time.Minute
-	fanout      = 4  // instances told at once of news
-	sampled     = 16 // members named in one digest
-	loadAge     = 3 * time.Second
+	fanout      = 4 // instances told at once of news
+	// alarmMost and alarmTimeout bound an alarm.
+	alarmMost    = 16
+	alarmTimeout = 150 * time.Millisecond
+	sampled      = 16 // members named in one digest
+	loadAge      = 3 * time.Second
 )
 
 // Local is what an instance does for the others.
@@ -122,6 +125,18 @@
 	g.exchangeAll(ctx, g.pick(len(g.Members()), ""))
 }
 
+// Alarm tells other instances of what must not wait. It tells all of them if
+// they are few, else some that pass it on, and returns within a short time.
+func (g *Gossiper) Alarm() {
+	ctx, cancel := context.WithTimeout(context.Background(), alarmTimeout)
+	defer cancel()
+	told := g.pick(alarmMost, "")
+	g.exchangeAll(ctx, told)
+	if len(told) == alarmMost {
+		<-ctx.Done() // those told pass it on
+	}
+}
+
 func (g *Gossiper) tick(ctx context.Context) {
 	g.mu.Lock()
 	g.beat++
--- a/gossiper/rpc.go
+++ b/gossiper/rpc.go
@@ -60,6 +60,9 @@
 
 // Exchange takes in the digest of another instance and returns this one's.
 func (s *service) Exchange(digest messenger.Digest, reply *messenger.Digest) error {
+	if s.gossiper.ward.Merge(digest.Cases, s.gossiper.now()) {
+		s.gossiper.News()
+	}
 	*reply = *s.gossiper.digest()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -59,6 +59,7 @@
 	running  int
 	begun    map[string]int // runs by prompt
 	prefill  sync.Mutex
+	crashed  bool
 	stats    Stats
 }
 
@@ -103,9 +104,17 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crashed = true
 	e.listener.Crash()
 }
 
+// Crashed reports whether Crash was called.
+func (e *Engine) Crashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
 // Stats returns what the engine has done so far.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
--- a/instance.go
+++ b/instance.go
@@ -94,7 +94,7 @@
 	owner := settings.Name + "@" + self.Boot.Format(time.RFC3339Nano)
 	i.claims = claimer.New(owner, settings.Peer, i.batch, table, store, i.gossip, count, now)
 
-	pick := picker.New(i.board, coster.New(holders), balancer.New(), holders, ward, count, now)
+	pick := picker.New(i.board, coster.New(holders), balancer.New(), holders, ward, count, now, i.gossip.Alarm)
 	budget := budgeter.New()
 	streams := streamer.New(i.board, endpoints, pick, budget, count, now)
 	services := attempter.New(endpoints, pick, i.claims, budget, count, now)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -34,11 +34,13 @@
 	ward     *quarantiner.Ward
 	count    *counter.Counter
 	now      func() time.Time
+	alarm    func()
 }
 
 // New returns a picker that uses one policy for engines and one for services.
-func New(board *keeper.Board, engines, services chooser.Policy, holders *mapper.Map, ward *quarantiner.Ward, count *counter.Counter, now func() time.Time) *Picker {
-	return &Picker{board: board, engines: engines, services: services, holders: holders, ward: ward, count: count, now: now}
+// It calls alarm when another instance must hear of a crash.
+func New(board *keeper.Board, engines, services chooser.Policy, holders *mapper.Map, ward *quarantiner.Ward, count *counter.Counter, now func() time.Time, alarm func()) *Picker {
+	return &Picker{board: board, engines: engines, services: services, holders: holders, ward: ward, count: count, now: now, alarm: alarm}
 }
 
 // Pick returns an endpoint for request that is not among tried. The error is
@@ -56,6 +58,10 @@
 	}
 	tracks := p.board.Fleet.Load().Pool(request.Route.Pool)
 	choice := p.choose(query, request, tracks, known)
+	if choice.Track == nil {
+		query.Desperate = true
+		choice = p.choose(query, request, tracks, known)
+	}
 	if choice.Track == nil {
 		return choice, refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s can take the request", request.Route.Pool).WithRetryAt(now.Add(noneWait))
 	}
@@ -85,11 +91,13 @@
 	track.Shun(p.now().Add(pause))
 }
 
-// Lost records that track's incarnation ended while it ran request.
+// Lost records that track's incarnation ended while it ran request, and
+// returns when the other instances have been told or time is up.
 func (p *Picker) Lost(request *identifier.Request, track *tracker.Track, incarnation string) {
 	p.count.Add("quarantine", "losses")
 	loss := quarantiner.Loss{Endpoint: track.Endpoint.Name, Incarnation: incarnation}
 	p.ward.Lost(request.Fingerprint, loss, p.now())
+	p.alarm()
 }
 
 // choose sends a suspect request to the endpoint that every instance would
--- /dev/null
+++ b/stager/once_test.go
@@ -0,0 +1,161 @@
+package stager_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/booker"
+	"wisteriadrum/stager"
+	"wisteriadrum/storekeeper"
+)
+
+func booking(target, key, body string) request {
+	return request{target: target, path: stager.Booking, body: body, key: key}
+}
+
+// runs returns how often a booking ran over all services.
+func runs(stage *stager.Stage, body string) int {
+	total := 0
+	for _, service := range stage.Services {
+		total += service.Runs()[body]
+	}
+	return total
+}
+
+func twoInstances(o *stager.Options) { o.Instances = 2 }
+
+// Resends of one booking through every instance at once run it once and get
+// one answer.
+func TestResendsRunOnce(t *testing.T) {
+	stage := open(t, func(o *stager.Options) { o.Instances = 3 })
+	for _, service := range stage.Services {
+		service.Fail(booker.Faults{Hold: 100})
+	}
+	answers := make([]answer, 12)
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Go(func() { answers[i] = call(t, booking(stage.Callers()[i%3], "k", "slot 1")) })
+	}
+	all.Wait()
+	for _, got := range answers {
+		assert.Equal(t, got.status, http.StatusOK, got.text)
+		assert.Equal(t, got.text, answers[0].text)
+		assert.Equal(t, got.verdict, "ran")
+	}
+	assert.Equal(t, runs(stage, "slot 1"), 1)
+	reused := call(t, booking(stage.Callers()[0], "k", "slot 2"))
+	assert.Equal(t, reused.code, "key-reused")
+	assert.Equal(t, reused.verdict, "not-run")
+	other := booking(stage.Callers()[0], "k", "slot 2")
+	other.workspace = 1
+	assert.Equal(t, call(t, other).status, http.StatusOK, "keys of two workspaces are apart")
+}
+
+// A service that runs the booking and closes without an answer, or cuts it,
+// leaves it in doubt: it never runs again.
+func TestLostAnswerIsNeverRunAgain(t *testing.T) {
+	for name, fault := range map[string]booker.Faults{"lost": {Lose: 1}, "cut": {Cut: 1}} {
+		for _, key := range []string{"k", ""} {
+			t.Run(fmt.Sprintf("%s key=%q", name, key), func(t *testing.T) {
+				stage := open(t, func(o *stager.Options) { o.Instances, o.Services = 2, 1 })
+				stage.Services[0].Fail(fault)
+				first := call(t, booking(stage.Callers()[0], key, "slot"))
+				assert.Equal(t, first.verdict, "may-have-run", first.text)
+				assert.Equal(t, runs(stage, "slot"), 1)
+				if key == "" {
+					return
+				}
+				for i := range 3 {
+					again := call(t, booking(stage.Callers()[i%2], key, "slot"))
+					assert.Equal(t, again.code, "in-doubt")
+					assert.Equal(t, again.verdict, "may-have-run")
+				}
+				assert.Equal(t, runs(stage, "slot"), 1)
+			})
+		}
+	}
+}
+
+// A refusal by the service itself is true and retried elsewhere; when all
+// refuse, the key is free again.
+func TestRefusedBookingRunsLater(t *testing.T) {
+	stage := open(t, twoInstances)
+	stage.Services[0].Fail(booker.Faults{Refuse: 1})
+	stage.Services[1].Fail(booker.Faults{Refuse: 1})
+	got := call(t, booking(stage.Callers()[0], "k", "slot"))
+	assert.Equal(t, got.status, http.StatusOK, got.text)
+	assert.Equal(t, runs(stage, "slot"), 1)
+	for _, service := range stage.Services {
+		service.Fail(booker.Faults{Refuse: 100})
+	}
+	got = call(t, booking(stage.Callers()[0], "k2", "slot 2"))
+	assert.Equal(t, got.verdict, "not-run")
+	assert.Equal(t, runs(stage, "slot 2"), 0)
+	for _, service := range stage.Services {
+		service.Fail(booker.Faults{})
+	}
+	got = call(t, booking(stage.Callers()[1], "k2", "slot 2"))
+	assert.Equal(t, got.status, http.StatusOK, got.text)
+	assert.Equal(t, runs(stage, "slot 2"), 1)
+}
+
+// A table that commits and loses its answers, lands writes late, is slow or
+// down, never makes a booking run twice, and "not run" is true.
+func TestBookingsUnderTableFaults(t *testing.T) {
+	faults := map[string]storekeeper.Faults{
+		"loses answers": {Lose: 2},
+		"lands late":    {Late: 1, Hold: 300},
+		"lands later":   {Late: 3, Hold: 3500},
+		"slow":          {Slow: 300},
+		"down":          {Down: true},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			stage := open(t, twoInstances)
+			stage.Platform.Fail(fault)
+			got := call(t, booking(stage.Callers()[0], "k", "slot"))
+			if name == "down" {
+				assert.Equal(t, got.code, "claim-failed")
+			} else {
+				assert.Equal(t, got.status, http.StatusOK, got.text)
+			}
+			if got.verdict == "not-run" {
+				assert.Equal(t, runs(stage, "slot"), 0)
+			}
+			stage.Platform.Fail(storekeeper.Faults{})
+			time.Sleep(time.Duration(fault.Hold) * time.Millisecond)
+			again := call(t, booking(stage.Callers()[1], "k", "slot"))
+			assert.Equal(t, again.status, http.StatusOK, again.text)
+			assert.Equal(t, runs(stage, "slot"), 1)
+		})
+	}
+}
+
+// A claim that was given up and lands later is made void by its owner, so
+// that the key does not stay in doubt.
+func TestAbandonedClaimIsFreed(t *testing.T) {
+	stage := open(t, twoInstances)
+	stage.Platform.Fail(storekeeper.Faults{Late: 100, Hold: 4000})
+	got := call(t, booking(stage.Callers()[0], "k", "slot"))
+	assert.Equal(t, got.verdict, "not-run")
+	stage.Platform.Fail(storekeeper.Faults{})
+	time.Sleep(5 * time.Second)
+	again := call(t, booking(stage.Callers()[1], "k", "slot"))
+	assert.Equal(t, again.status, http.StatusOK, again.text)
+	assert.Equal(t, runs(stage, "slot"), 1)
+}
+
+// An answer too large for a row is kept and replayed.
+func TestOrdinaryServiceIsRetried(t *testing.T) {
+	stage := open(t, nil)
+	stage.Services[0].Fail(booker.Faults{Lose: 1})
+	stage.Services[1].Fail(booker.Faults{Lose: 1})
+	got := call(t, request{target: stage.Callers()[0], path: stager.Stock, body: "look up"})
+	assert.Equal(t, got.status, http.StatusOK, got.text)
+}
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -38,6 +38,8 @@
 	Workspaces int
 	Engine     inferrer.Options
 	Weigh      director.Weigh
+	// Wrap, if set, wraps the listeners of engines and services.
+	Wrap func(name string, inner net.Listener) net.Listener
 	// Change, if set, changes the set before it is published.
 	Change func(*cataloguer.Set)
 	Log    *zap.Logger
@@ -108,9 +110,18 @@
 // Restart starts a crashed engine again, with an empty cache.
 func (s *Stage) Restart(engine *Engine) error {
 	options := engine.options
-	options.Crash = func() { engine.Engine.Crash() }
-	engine.Engine = inferrer.New(options)
-	return s.serve(engine.Address, engine.Engine.Serve)
+	var fresh *inferrer.Engine
+	options.Crash = func() { fresh.Crash() }
+	fresh = inferrer.New(options)
+	engine.Engine = fresh
+	return s.serve(engine.Address, s.wrapped(engine.Name, engine.Engine.Serve))
+}
+
+func (s *Stage) wrapped(name string, run func(net.Listener) error) func(net.Listener) error {
+	if s.options.Wrap == nil {
+		return run
+	}
+	return func(listener net.Listener) error { return run(s.options.Wrap(name, listener)) }
 }
 
 // Add starts another instance in a data centre.
@@ -250,7 +261,7 @@
 	}
 	for i := range s.options.Services {
 		service, address := booker.New(), Free()
-		if err := s.serve(address, service.Serve); err != nil {
+		if err := s.serve(address, s.wrapped(fmt.Sprintf("office-%d", i+1), service.Serve)); err != nil {
 			return err
 		}
 		s.Services = append(s.Services, service)
--- a/storekeeper/platform.go
+++ b/storekeeper/platform.go
@@ -30,6 +30,8 @@
 	// milliseconds.
 	Late int `json:"late"`
 	Hold int `json:"hold"`
+	// Linger delays answers by so many milliseconds after the commit.
+	Linger int `json:"linger"`
 	// Pace is the time of one transaction in microseconds.
 	Pace int `json:"pace"`
 }
@@ -183,7 +185,9 @@
 		time.AfterFunc(time.Duration(faults.Hold)*time.Millisecond, func() { p.Transact(writes) })
 		_ = ctx.Conn().Close()
 	default:
-		encode(ctx, p.Transact(writes))
+		conflicts := p.Transact(writes)
+		time.Sleep(time.Duration(faults.Linger) * time.Millisecond)
+		encode(ctx, conflicts)
 	}
 }
 
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -23,6 +23,8 @@
 	maxMoves   = 6 // endpoints tried for one request
 	maxResumes = 3 // connections without a new event to one endpoint
 	movePause  = 20 * time.Millisecond
+	maxRounds  = 2 // over all endpoints, after the first
+	roundPause = 50 * time.Millisecond
 )
 
 // Streamer runs model requests.
@@ -48,6 +50,7 @@
 	tokens  int             // chunks with text relayed
 	tried   []*tracker.Track
 	moves   int
+	rounds  int
 	begun   time.Time
 	worst   judge.Verdict // over all attempts
 }
@@ -61,6 +64,9 @@
 	}
 	for {
 		choice, err := s.picker.Pick(request, g.tried)
+		if err != nil && s.again(g, err) {
+			continue
+		}
 		if err != nil {
 			return g.verdict(err)
 		}
@@ -78,6 +84,18 @@
 	}
 }
 
+// again begins another round when every endpoint was tried, after a pause.
+func (s *Streamer) again(g *generation, err error) bool {
+	if codeOf(err) != refuser.NoEndpoint || len(g.tried) == 0 || g.rounds == maxRounds {
+		return false
+	}
+	g.rounds++
+	g.tried = nil
+	s.count.Add("retry", "round")
+	time.Sleep(roundPause << g.rounds)
+	return true
+}
+
 // move decides whether the request goes on at another endpoint after cause.
 func (s *Streamer) move(ctx context.Context, g *generation, from *tracker.Track, cause error) error {
 	g.tried = append(g.tried, from)
