--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,34 @@
+package follower_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/cataloguer"
+	"wisteriadrum/counter"
+	"wisteriadrum/follower"
+	"wisteriadrum/keeper"
+)
+
+// A configuration in force is never replaced by one with a lower number, one
+// that is damaged, or one with faults.
+func TestNumbersNeverGoBack(t *testing.T) {
+	board := keeper.New()
+	f := follower.New(board, "a", nil, nil, nil, counter.New(metrics.NewRegistry()), zap.NewNop())
+	adopt := func(number uint64, site string) error {
+		source := fmt.Appendf(nil, `{"data_centres":[{"name":%q}]}`, site)
+		return f.Adopt(number, cataloguer.Digest(source), source)
+	}
+	assert.NilError(t, adopt(3, "three"))
+	assert.NilError(t, adopt(2, "two"))
+	assert.Equal(t, board.Index.Load().Number, uint64(3))
+	assert.NilError(t, adopt(3, "other"))
+	assert.Equal(t, board.Index.Load().Set.DataCentres[0].Name, "three")
+	assert.ErrorContains(t, f.Adopt(4, "digest", []byte(`{}`)), "digest")
+	assert.ErrorContains(t, adopt(5, "UPPER"), "must be")
+	assert.Equal(t, board.Index.Load().Number, uint64(3))
+}
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -115,6 +115,15 @@
 	return e.crashed
 }
 
+// Load replaces the weights, which empties the cache.
+func (e *Engine) Load(weights string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.weights = weights
+	e.incarnation = uuid.NewString()
+	e.cache = newCache(e.options.Pieces)
+}
+
 // Stats returns what the engine has done so far.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
--- a/inferrer/faults.go
+++ b/inferrer/faults.go
@@ -7,7 +7,7 @@
 	// Cut closes the connection of a stream after so many events, once each
 	// connection.
 	Cut int `json:"cut"`
-	// Cross answers the next so many requests under another attempt's name.
+	// Cross answers the next so many requests with another attempt's answer.
 	Cross int `json:"cross"`
 	// Refuse refuses the next so many requests.
 	Refuse int `json:"refuse"`
--- a/inferrer/http.go
+++ b/inferrer/http.go
@@ -17,7 +17,7 @@
 )
 
 func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
-	ctx.Response.Header.Set(dialer.HeaderIncarnation, e.incarnation)
+	ctx.Response.Header.Set(dialer.HeaderIncarnation, e.load().Incarnation)
 	path := string(ctx.Path())
 	switch {
 	case path == "/fault":
@@ -76,7 +76,8 @@
 		return
 	}
 	if faults.Cross > 0 {
-		ctx.Response.Header.Set(dialer.HeaderAttempt, "another")
+		a = e.other(a)
+		ctx.Response.Header.Set(dialer.HeaderAttempt, a.name)
 	}
 	ctx.Response.Header.Set(dialer.HeaderWeights, weights)
 	ctx.Response.Header.Set(dialer.HeaderCached, strconv.Itoa(a.cached))
@@ -84,6 +85,18 @@
 	e.stream(ctx, a, resumeAt(head), faults)
 }
 
+// other returns another attempt than a, if there is one.
+func (e *Engine) other(a *attempt) *attempt {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, other := range e.attempts {
+		if other != a {
+			return other
+		}
+	}
+	return a
+}
+
 // find returns the attempt to answer from, which it starts if it is new, or
 // the reason why there is none. The lock must be held.
 func (e *Engine) find(name, salt string, head *fasthttp.RequestHeader, prompt prompter.Prompt) (*attempt, string) {
--- /dev/null
+++ b/publisher/publisher_test.go
@@ -0,0 +1,86 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/publisher"
+	"wisteriadrum/storekeeper"
+	"wisteriadrum/tabler"
+)
+
+// table is the stand-in's table without a network, with answers lost at will.
+type table struct {
+	*storekeeper.Platform
+	mu   sync.Mutex
+	lose int
+}
+
+func (t *table) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
+	return t.Read(keys...), nil
+}
+
+func (t *table) Apply(_ context.Context, writes []tabler.Write) ([]tabler.Row, error) {
+	conflicts := t.Transact(writes)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lose > 0 {
+		t.lose--
+		return nil, errors.New("answer lost")
+	}
+	return conflicts, nil
+}
+
+type store struct{}
+
+func (store) Get(context.Context, string) ([]byte, error) { return nil, errors.New("unused") }
+func (store) Put(context.Context, string, []byte) error   { return nil }
+
+func set(name string) []byte {
+	return fmt.Appendf(nil, `{"data_centres": [{"name": %q}]}`, name)
+}
+
+// Of two operators who publish from the same number one wins each round, and
+// the other is told which number is in force.
+func TestRacesHaveOneWinner(t *testing.T) {
+	shared := &table{Platform: storekeeper.New(time.Now)}
+	for round := range uint64(200) {
+		var outcomes [2]error
+		var both sync.WaitGroup
+		for i := range outcomes {
+			both.Go(func() {
+				_, outcomes[i] = publisher.New(shared, store{}).Publish(t.Context(), set(fmt.Sprintf("site-%d", i)), &round)
+			})
+		}
+		both.Wait()
+		lost := outcomes[0]
+		if lost == nil {
+			lost = outcomes[1]
+		}
+		var conflict *publisher.ErrConflict
+		assert.Assert(t, errors.As(lost, &conflict), "round %d: %v", round, outcomes)
+		assert.Equal(t, conflict.Number, round+1)
+		assert.Assert(t, outcomes[0] == nil || outcomes[1] == nil)
+	}
+}
+
+// An author whose answer was lost learns that the set is in force, also when
+// another set has followed it since.
+func TestLostAnswerIsFoundAgain(t *testing.T) {
+	shared := &table{Platform: storekeeper.New(time.Now), lose: 2}
+	head, err := publisher.New(shared, store{}).Publish(t.Context(), set("one"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, head.Number, uint64(1))
+}
+
+func TestFaultySetListsEveryFault(t *testing.T) {
+	_, err := publisher.New(&table{Platform: storekeeper.New(time.Now)}, store{}).Publish(t.Context(), []byte(`{"pools": [{"name": "UPPER"}], "what": 1}`), nil)
+	assert.ErrorContains(t, err, "pools[0].name")
+	assert.ErrorContains(t, err, "what: unknown field")
+}
--- /dev/null
+++ b/stager/control_test.go
@@ -0,0 +1,132 @@
+package stager_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/inferrer"
+	"wisteriadrum/lister"
+	"wisteriadrum/stager"
+	"wisteriadrum/storekeeper"
+)
+
+// leavingBy is the time after which an endpoint that leaves gets no new work.
+const leavingBy = 3 * time.Second
+
+func threeSites(o *stager.Options) {
+	o.DataCentres, o.Instances, o.Engines, o.Services = []string{"a", "b", "c"}, 2, 1, 1
+}
+
+// A set that only one instance could publish reaches all of them while the
+// platform is down, and a fresh instance too, which serves at once.
+func TestSetSpreadsWhilePlatformIsDown(t *testing.T) {
+	stage := open(t, threeSites)
+	stage.Set.Routes[0].Model = "renamed"
+	_, err := stage.Instances[0].Publish(t.Context(), stage.Set.Encode(), nil)
+	assert.NilError(t, err)
+	stage.Platform.Fail(storekeeper.Faults{Down: true})
+	eventually(t, 16*time.Second, "the set is not in force everywhere", func() bool {
+		for _, node := range stage.Instances {
+			if node.Status().Number != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	fresh, err := stage.Add("c")
+	assert.NilError(t, err)
+	assert.NilError(t, stage.Ready())
+	assert.Equal(t, fresh.Status().Number, uint64(2))
+	body := strings.Replace(prompt("herd", 3, true), "lingua", "renamed", 1)
+	got := call(t, request{target: fresh.Settings.Caller, path: "/v1/completions", body: body})
+	assert.Assert(t, got.complete, got.text)
+}
+
+// An instance that can reach neither platform nor peers refuses truthfully.
+func TestNothingKnownIsRefused(t *testing.T) {
+	stage := open(t, nil)
+	stage.Platform.Fail(storekeeper.Faults{Down: true})
+	settings := *stage.Instances[0].Settings
+	settings.Name, settings.Peers = "alone", nil
+	settings.Caller, settings.Operator, settings.Peer = stager.Free(), stager.Free(), stager.Free()
+	alone, err := stage.Start(&settings)
+	assert.NilError(t, err)
+	defer alone.Kill()
+	var got answer
+	eventually(t, 5*time.Second, "no answer", func() bool {
+		got = call(t, request{target: settings.Caller, path: "/v1/completions", body: prompt("x", 1, true)})
+		return got.code != "unreachable"
+	})
+	assert.Equal(t, got.code, "no-set")
+	assert.Equal(t, got.verdict, "not-run")
+	assert.Assert(t, !alone.Ready())
+}
+
+// An endpoint that leaves, whether by a planned stop with the platform down,
+// by the platform's list or by its own word, gets no new work after 3 s, and
+// what runs there finishes.
+func TestStoppedEndpointGetsNoNewWork(t *testing.T) {
+	ways := map[string]func(*testing.T, *stager.Stage){
+		"planned stop": func(t *testing.T, stage *stager.Stage) {
+			stage.Platform.Fail(storekeeper.Faults{Down: true})
+			assert.NilError(t, stage.Instances[0].Instance.Stop(t.Context(), stage.Engines[0].Name, true))
+		},
+		"platform's list": func(_ *testing.T, stage *stager.Stage) {
+			stage.Platform.List(lister.Entry{Name: stage.Engines[0].Name, State: lister.Leaving})
+		},
+		"own refusal": func(_ *testing.T, stage *stager.Stage) {
+			stage.Engines[0].Fail(inferrer.Faults{Leaving: true})
+		},
+	}
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			stage := open(t, func(o *stager.Options) { threeSites(o); o.Engine.PerToken = 20000 })
+			var running sync.WaitGroup
+			for i := range 12 {
+				running.Go(func() {
+					got := call(t, request{target: stage.Callers()[i%6], path: "/v1/completions", body: prompt(fmt.Sprint("long ", i), 200, true)})
+					assert.Check(t, got.complete, got.code)
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			assert.Assert(t, stage.Engines[0].Stats().Requests > 0)
+			leave(t, stage)
+			time.Sleep(leavingBy)
+			before := stage.Engines[0].Stats().Requests
+			for i := range 30 {
+				got := call(t, request{target: stage.Callers()[i%6], path: "/v1/completions", body: prompt(fmt.Sprint("new ", i), 1, true)})
+				assert.Assert(t, got.complete, got.code)
+			}
+			assert.Equal(t, stage.Engines[0].Stats().Requests, before)
+			running.Wait()
+		})
+	}
+}
+
+// An instance that stops cuts and refuses nothing.
+func TestPlannedStopOfAnInstance(t *testing.T) {
+	stage := open(t, func(o *stager.Options) { o.Instances, o.Engine.PerToken = 2, 20000 })
+	var running sync.WaitGroup
+	for i := range 10 {
+		running.Go(func() {
+			got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: prompt(fmt.Sprint("long ", i), 150, true)})
+			assert.Check(t, got.complete, got.code)
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	ended := stage.Instances[0].Stop()
+	eventually(t, time.Second, "still ready", func() bool { return !stage.Instances[0].Ready() })
+	got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: prompt("after the signal", 2, true)})
+	assert.Assert(t, got.complete, "a request before the balancer has looked again: %s", got.code)
+	running.Wait()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the instance did not end")
+	}
+}
--- a/stager/streams_test.go
+++ b/stager/streams_test.go
@@ -204,3 +204,45 @@
 		}
 	}
 }
+
+// An answer that belongs to another request never reaches a caller.
+func TestAnswerUnderAnotherName(t *testing.T) {
+	stage := open(t, func(o *stager.Options) { o.Engines = 1 })
+	for i := range 5 {
+		first := prompt(fmt.Sprint("first ", i), 10, true)
+		assert.Equal(t, call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: first}).text, reference(t, first))
+		stage.Engines[0].Fail(inferrer.Faults{Cross: 1})
+		second := prompt(fmt.Sprint("second ", i), 10, true)
+		got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: second})
+		assert.Equal(t, got.text, reference(t, second))
+	}
+}
+
+// The same prompt from two workspaces shares no cache.
+func TestNoCacheOfAnotherWorkspace(t *testing.T) {
+	stage := open(t, func(o *stager.Options) { o.Engines = 1 })
+	body := prompt(strings.Repeat("standing orders ", 50), 2, true)
+	for workspace := range 2 {
+		got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: body, workspace: workspace})
+		assert.Assert(t, got.complete)
+		assert.Equal(t, stage.Engines[0].Stats().Cached, 0)
+	}
+	call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: body})
+	assert.Assert(t, stage.Engines[0].Stats().Cached > 0)
+}
+
+// A request is never answered from other weights than those published.
+func TestNoOlderWeights(t *testing.T) {
+	stage := open(t, nil)
+	body := prompt("weights", 2, true)
+	stage.Set.Pools[0].Version = "v2"
+	_, err := stage.Instances[0].Publish(t.Context(), stage.Set.Encode(), nil)
+	assert.NilError(t, err)
+	got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: body})
+	assert.Assert(t, !got.complete || got.code != "", "answered from weights v1: %v", got)
+	assert.Equal(t, got.verdict, "not-run")
+	stage.Engines[1].Load("v2")
+	got = call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: body})
+	assert.Assert(t, got.complete, got.text)
+	assert.Equal(t, stage.Engines[0].Stats().Requests, 0)
+}
