--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -27,6 +27,8 @@
 	sendLease  = 10 * time.Second
 	saveWindow = time.Hour
 	rereadWait = 100 * time.Millisecond
+	// ownerWait is how long an owner that cannot be reached is waited for.
+	ownerWait  = 3 * time.Second
 	sweepEvery = time.Second
 	maxInline  = 32 << 10 // bytes of an answer kept in the row
 )
@@ -188,8 +190,12 @@
 // await follows another claim of the same key until it ends or ctx does.
 func (c *Claimer) await(ctx context.Context, row tabler.Row, other recorder.Record) (tabler.Row, recorder.Record, error) {
 	c.count.Add("once", "awaited")
+	reachedBy := c.now().Add(ownerWait)
 	for {
 		standing := c.ask(ctx, other)
+		if standing.Phase != Unreached {
+			reachedBy = c.now().Add(ownerWait)
+		}
 		switch standing.Phase {
 		case Finished:
 			return row, other.WithAnswer(standing.Answer), nil
@@ -197,7 +203,7 @@
 			return row, other, inDoubt()
 		case Unknown, Unreached, Running, Abandoned:
 		}
-		if err := pause(ctx, rereadWait); err != nil {
+		if err := pause(ctx, rereadWait); err != nil || c.now().After(reachedBy) {
 			return row, other, inDoubt()
 		}
 		rows, err := c.table.Get(ctx, row.Key)
--- a/claimer/schedule_test.go
+++ b/claimer/schedule_test.go
@@ -38,12 +38,13 @@
 	rand *rand.Rand
 	rows map[string]tabler.Row
 	odds int // in ten, of each transaction to fail
+	down bool
 }
 
 func (f *faulty) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.rand.IntN(10) < f.odds {
+	if f.down || f.rand.IntN(10) < f.odds {
 		return nil, errors.New("down")
 	}
 	rows := make([]tabler.Row, len(keys))
@@ -55,7 +56,7 @@
 
 func (f *faulty) Apply(_ context.Context, writes []tabler.Write) ([]tabler.Row, error) {
 	f.mu.Lock()
-	fails, way := f.rand.IntN(10) < f.odds, f.rand.IntN(3)
+	fails, way := f.down || f.rand.IntN(10) < f.odds, f.rand.IntN(3)
 	delay := time.Duration(f.rand.IntN(5000)) * time.Millisecond
 	f.mu.Unlock()
 	time.Sleep(time.Millisecond)
@@ -147,7 +148,7 @@
 type step struct {
 	after time.Duration
 	place int
-	kind  int // 0 to 5 send, 6 replace the instance, 7 cut or heal
+	kind  int // 0 to 5 send, 6 replace the instance, 7 cut or heal, 8 an outage begins or ends
 	work  int // 0 and 1 answer, 2 refuse, 3 lose the answer
 	takes time.Duration
 }
@@ -156,7 +157,7 @@
 	return step{
 		after: time.Duration(rapid.IntRange(0, 4000).Draw(t, "after")) * time.Millisecond,
 		place: rapid.IntRange(0, 2).Draw(t, "place"),
-		kind:  rapid.IntRange(0, 7).Draw(t, "kind"),
+		kind:  rapid.IntRange(0, 8).Draw(t, "kind"),
 		work:  rapid.IntRange(0, 3).Draw(t, "work"),
 		takes: time.Duration(rapid.IntRange(0, 3000).Draw(t, "takes")) * time.Millisecond,
 	}
@@ -239,13 +240,17 @@
 			all.mu.Lock()
 			all.cut = !all.cut
 			all.mu.Unlock()
+		case 8:
+			table.mu.Lock()
+			table.down = !table.down
+			table.mu.Unlock()
 		default:
 			sent.Go(func() { seen.send(all.node(s.place), s, number) })
 		}
 	}
 	sent.Wait()
 	table.mu.Lock()
-	table.odds = 0 // so that what is under way ends
+	table.odds, table.down = 0, false // so that what is under way ends
 	table.mu.Unlock()
 	time.Sleep(time.Minute)
 	if seen.runs > 1 {
--- a/inferrer/faults.go
+++ b/inferrer/faults.go
@@ -7,6 +7,9 @@
 	// Cut closes the connection of a stream after so many events, once each
 	// connection.
 	Cut int `json:"cut"`
+	// End ends a stream after so many events as if it were complete, but
+	// without its closing event.
+	End int `json:"end"`
 	// Cross answers the next so many requests with another attempt's answer.
 	Cross int `json:"cross"`
 	// Refuse refuses the next so many requests.
--- a/inferrer/http.go
+++ b/inferrer/http.go
@@ -143,6 +143,9 @@
 					_ = conn.Close()
 					return
 				}
+				if faults.End > 0 && written > faults.End {
+					return
+				}
 				if faults.Skip > 0 && written == faults.Skip {
 					continue
 				}
--- a/instance.go
+++ b/instance.go
@@ -49,6 +49,7 @@
 	readyPause = 2 * time.Second
 	drainLimit = 10 * time.Minute
 	flushLimit = 5 * time.Second
+	abortLimit = time.Second
 	shareEvery = time.Second
 	keepEvery  = 5 * time.Second
 )
@@ -138,10 +139,11 @@
 	i.gossip.News()
 	limit, cancel := context.WithTimeout(hurry, drainLimit)
 	defer cancel()
-	if !wait(limit, readyPause) {
-		return nil
-	}
+	wait(limit, readyPause)
 	err := i.server.Shutdown(limit)
+	if limit.Err() != nil {
+		return i.abort()
+	}
 	flush, cancel := context.WithTimeout(hurry, flushLimit)
 	defer cancel()
 	i.claims.Flush(flush)
@@ -149,6 +151,19 @@
 	return eris.Wrap(err, "finish requests")
 }
 
+// abort ends the requests under way at once.
+func (i *Instance) abort() error {
+	i.log.Warn("instance stopped at once", zap.Int("flight", i.limits.Flight()))
+	i.server.Abort()
+	limit, cancel := context.WithTimeout(context.Background(), abortLimit)
+	defer cancel()
+	for i.limits.Flight() > 0 && wait(limit, abortLimit/100) {
+		continue
+	}
+	wait(limit, abortLimit/10) // for the answers to be written
+	return nil
+}
+
 // share divides the limits among the live instances of the data centre.
 func (i *Instance) share(ctx context.Context) {
 	for wait(ctx, shareEvery) {
--- a/securer/files_test.go
+++ b/securer/files_test.go
@@ -92,9 +92,9 @@
 
 func client(t *testing.T, files securer.Files) *tls.Config {
 	t.Helper()
-	make, err := files.Client()
+	configure, err := files.Client()
 	assert.NilError(t, err)
-	config, err := make()
+	config, err := configure()
 	assert.NilError(t, err)
 	return config
 }
--- a/server/server.go
+++ b/server/server.go
@@ -52,11 +52,12 @@
 	count    *counter.Counter
 	now      func() time.Time
 	http     *fasthttp.Server
+	quit     chan struct{}
 }
 
 // New returns a server that takes bodies and headers of at most so many bytes.
 func New(board *keeper.Board, limits *limiter.Limiter, streams *streamer.Streamer, services *attempter.Attempter, count *counter.Counter, now func() time.Time, maxBody, maxHeader int) *Server {
-	s := &Server{board: board, limits: limits, streams: streams, services: services, count: count, now: now}
+	s := &Server{board: board, limits: limits, streams: streams, services: services, count: count, now: now, quit: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          s.malformed,
@@ -75,6 +76,10 @@
 // Shutdown ends after the requests under way, or with ctx.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
+// Abort ends the requests under way with refusals that say what may have run.
+// It must be called at most once.
+func (s *Server) Abort() { close(s.quit) }
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	input := s.input(ctx)
 	ctx.Response.Header.Set(HeaderRequest, input.ID)
@@ -120,7 +125,7 @@
 func (s *Server) service(ctx *fasthttp.RequestCtx, request *identifier.Request) {
 	limit, cancel := context.WithTimeout(context.Background(), serviceLimit)
 	defer cancel()
-	answer, err := s.services.Run(limit, request)
+	answer, err := s.unlessAborted(func() (recorder.Answer, error) { return s.services.Run(limit, request) })
 	if err != nil {
 		s.refuse(ctx, request.ID, err)
 		return
@@ -128,6 +133,29 @@
 	s.answer(ctx, answer)
 }
 
+// unlessAborted returns the outcome of work, or a refusal if Abort comes first.
+func (s *Server) unlessAborted(work func() (recorder.Answer, error)) (recorder.Answer, error) {
+	type outcome struct {
+		answer recorder.Answer
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		answer, err := work()
+		done <- outcome{answer: answer, err: err}
+	}()
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-s.quit:
+		return recorder.Answer{}, aborted()
+	}
+}
+
+func aborted() error {
+	return refuser.New(refuser.Stopping, judge.MayHaveRun, "the instance was stopped at once")
+}
+
 func (s *Server) answer(ctx *fasthttp.RequestCtx, answer recorder.Answer) {
 	s.count.Add("answers", "whole")
 	ctx.SetStatusCode(answer.Status)
@@ -137,13 +165,17 @@
 }
 
 func (s *Server) whole(ctx *fasthttp.RequestCtx, request *identifier.Request) {
-	var sink gatherer
-	if err := s.streams.Run(context.Background(), request, &sink); err != nil {
+	answer, err := s.unlessAborted(func() (recorder.Answer, error) {
+		var sink gatherer
+		err := s.streams.Run(context.Background(), request, &sink)
+		body := chunker.Whole(sink.chunks, request.Prompt.Chat()).Encode()
+		return recorder.Answer{Status: fasthttp.StatusOK, ContentType: "application/json", Body: body}, err
+	})
+	if err != nil {
 		s.refuse(ctx, request.ID, err)
 		return
 	}
-	body := chunker.Whole(sink.chunks, request.Prompt.Chat()).Encode()
-	s.answer(ctx, recorder.Answer{Status: fasthttp.StatusOK, ContentType: "application/json", Body: body})
+	s.answer(ctx, answer)
 }
 
 // gatherer is a sink that keeps a whole answer.
@@ -166,28 +198,41 @@
 		sink.err = s.streams.Run(limit, request, sink)
 		close(sink.events)
 	}()
-	first, ok := <-sink.events
-	if !ok && sink.err != nil {
+	first, ok, err := s.next(sink)
+	if err != nil {
 		cancel()
-		s.refuse(ctx, request.ID, sink.err)
+		s.refuse(ctx, request.ID, err)
 		return
 	}
 	ctx.SetContentType(eventStream)
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
 	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
 		defer cancel()
-		if ok && !first.write(writer) {
-			return
-		}
-		for event := range sink.events {
+		event := first
+		for ok {
 			if !event.write(writer) {
 				return
 			}
+			event, ok, err = s.next(sink)
 		}
-		s.end(writer, request.ID, sink.err)
+		s.end(writer, request.ID, err)
 	})
 }
 
+// next returns the next event of sink and whether there was one; if not, the
+// error says why, and is nil after a complete answer.
+func (s *Server) next(sink *pipe) (event, bool, error) {
+	select {
+	case e, ok := <-sink.events:
+		if !ok {
+			return e, false, sink.err
+		}
+		return e, true, nil
+	case <-s.quit:
+		return event{}, false, aborted()
+	}
+}
+
 // end closes a stream as complete, or with an event that says why it is not.
 func (s *Server) end(writer *bufio.Writer, id string, err error) {
 	if err == nil {
--- a/stager/streams_test.go
+++ b/stager/streams_test.go
@@ -20,6 +20,7 @@
 	faults := map[string]inferrer.Faults{
 		"none":                 {},
 		"cut every few events": {Cut: 5},
+		"ended too soon":       {End: 5},
 		"crossed answers":      {Cross: 1},
 		"gaps":                 {Skip: 4},
 		"duplicates":           {Repeat: true},
@@ -42,6 +43,11 @@
 					assert.Assert(t, strings.Contains(got.text, reference(t, body)), got.text)
 				}
 			}
+			counters := stage.Instances[0].Counters()
+			assert.Equal(t, counters["stream.duplicates"] > 0, name == "duplicates")
+			if name == "duplicates" {
+				assert.Equal(t, counters["stream.resumed-upstream-lost"], int64(0))
+			}
 		})
 	}
 }
