Route by cost with learned trust, coverage and fresh loads

It took the time of one request alone as the cost, so it spread prefixes to save a short wait and emptied everybody's caches; an instance that had not seen a prefix guessed nothing about it; and loads were as old as the last poll.

Change: missing bytes weigh 12 times (tail) or 40 times (waste) a byte ahead; rendezvous order of prefixes of 1, 2, 4, 8 levels is a guess, trusted by how many cache events arrive; trust in holders is learned by age; requests that must compute 20 ms or more ask two endpoints for their load first.

--- a/chooser/policy.go
+++ b/chooser/policy.go
@@ -33,6 +33,8 @@
 	Reason string
 	// Depth is the number of levels expected in the endpoint's cache.
 	Depth int
+	// Learn, if set, takes in how many levels were found cached.
+	Learn func(cached int)
 }
 
 // Policy chooses one of the endpoints of a pool.
@@ -41,6 +43,12 @@
 	Choose(query Query, tracks []*tracker.Track) Choice
 }
 
+// Shortlister is a policy that asks for fresh loads before costly requests.
+type Shortlister interface {
+	// Shortlist returns the endpoints whose load should be asked for.
+	Shortlist(query Query, tracks []*tracker.Track) []*tracker.Track
+}
+
 // Usable reports whether track may be chosen for q.
 func (q Query) Usable(track *tracker.Track) bool {
 	open := track.Open(q.Now) || q.Desperate && !track.Leaving()
--- a/coster/cost.go
+++ b/coster/cost.go
@@ -1,9 +1,11 @@
-// Package coster chooses the endpoint with the lowest expected time to the
-// first token: the wait ahead plus the prefill of what its cache lacks.
+// Package coster chooses the endpoint with the lowest expected cost: the wait
+// ahead, and the prefill of what its cache lacks, which weighs more because
+// it also makes others wait.
 package coster
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"wisteriadrum/chooser"
@@ -11,102 +13,176 @@
 	"wisteriadrum/mapper"
 	"wisteriadrum/ranker"
 	"wisteriadrum/tracker"
+	"wisteriadrum/truster"
 )
 
 const (
-	ranked    = 2 // endpoints considered by rendezvous for each level
-	rankedTop = 3 // deepest levels that are ranked
-	sampled   = 2 // endpoints considered at random
-	// halfTrust is the age at which a holder's entry counts half.
-	halfTrust = 20 * time.Second
-	// tailWait and wasteWait are the weights of the wait ahead.
-	tailWait  = 1.0
-	wasteWait = 0.35
-	// localGain is the cost in nanoseconds of leaving the data centre.
-	localGain = float64(2 * time.Millisecond)
+	ranked  = 2  // endpoints considered by rendezvous for each ranked level
+	sampled = 4  // endpoints considered at random
+	holders = 16 // holders considered
+	room    = 64 // endpoints considered in all
+
+	// tailMissing and wasteMissing weigh a byte to compute against one ahead.
+	tailMissing  = 12.0
+	wasteMissing = 40.0
+	// blindShare and seeingShare are how far the first in rendezvous order is
+	// trusted to hold a prefix without and with cache events.
+	blindShare  = 0.8
+	seeingShare = 0.1
+	// awayCost is the cost of leaving the data centre, in nanoseconds.
+	awayCost = float64(2 * time.Millisecond)
+	// shortlist is the number of endpoints whose load is worth asking for.
+	shortlist = 2
 )
 
+// worthAsking is the prefill time from which on fresh loads are asked for.
+const worthAsking = 20 * time.Millisecond
+
 type cost struct {
 	holders *mapper.Map
+	trust   *truster.Trust
 }
 
-// New returns a policy that knows of caches what holders knows.
-func New(holders *mapper.Map) chooser.Policy {
-	return &cost{holders: holders}
+// New returns a policy that knows of caches what holders knows and learns how
+// far that can be trusted.
+func New(holders *mapper.Map, trust *truster.Trust) chooser.Policy {
+	return &cost{holders: holders, trust: trust}
 }
 
+// candidate is one endpoint with the guess that its cache holds depth levels.
 type candidate struct {
 	track  *tracker.Track
 	depth  int
-	trust  float64
+	kind   truster.Kind
+	share  float64 // of depth that is expected to be true
 	reason string
 }
 
 func (c *cost) Choose(query chooser.Query, tracks []*tracker.Track) chooser.Choice {
-	var room [64]candidate
-	found := c.known(query, tracks, room[:0])
-	found = ranks(query, tracks, found)
-	found = samples(query, tracks, found)
+	var space [room]candidate
+	found := c.candidates(query, tracks, space[:0])
 	best, bestCost := -1, math.Inf(1)
 	for i := range found {
-		if price := c.price(query, found[i]); price < bestCost {
+		if price := price(query, found[i]); price < bestCost {
 			best, bestCost = i, price
 		}
 	}
 	if best < 0 {
 		return first(query, tracks)
 	}
-	return chooser.Choice{Track: found[best].track, Reason: found[best].reason, Depth: found[best].depth}
+	return c.choice(found[best])
+}
+
+// Shortlist returns the endpoints whose load is worth asking for before a
+// choice, which are few, and none for a request that is cheap anyhow.
+func (c *cost) Shortlist(query chooser.Query, tracks []*tracker.Track) []*tracker.Track {
+	if query.Weigh == director.Waste {
+		return nil
+	}
+	var space [room]candidate
+	found := c.candidates(query, tracks, space[:0])
+	if len(found) < 2 {
+		return nil
+	}
+	sort.SliceStable(found, func(i, j int) bool { return price(query, found[i]) < price(query, found[j]) })
+	missing := query.Chain.Missing(min(found[0].depth, query.Chain.Depth()))
+	if time.Duration(missing*query.PerByte) < worthAsking {
+		return nil
+	}
+	list := make([]*tracker.Track, 0, shortlist)
+	for _, option := range found[:shortlist] {
+		list = append(list, option.track)
+	}
+	return list
+}
+
+func (c *cost) choice(option candidate) chooser.Choice {
+	choice := chooser.Choice{Track: option.track, Reason: option.reason}
+	choice.Depth = int(math.Round(float64(option.depth) * option.share))
+	if option.reason != "holder" {
+		return choice
+	}
+	choice.Learn = func(cached int) {
+		c.trust.Learn(option.kind, float64(min(cached, option.depth))/float64(option.depth))
+	}
+	return choice
 }
 
-// price returns the expected time to the first token in nanoseconds, with the
-// wait ahead weighted as the route asks.
-func (c *cost) price(query chooser.Query, option candidate) float64 {
+func (c *cost) candidates(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
+	found = c.known(query, tracks, found)
+	found = c.ranks(query, tracks, found)
+	return samples(query, tracks, found)
+}
+
+// price returns the expected cost in nanoseconds.
+func price(query chooser.Query, option candidate) float64 {
 	perByte := float64(max(query.PerByte, 1))
-	weight := tailWait
+	weight := tailMissing
 	if query.Weigh == director.Waste {
-		weight = wasteWait
+		weight = wasteMissing
 	}
-	wait := float64(option.track.Queue(query.Now, query.PerByte)) * perByte * weight
-	saved := float64(query.Chain.Size()-query.Chain.Missing(option.depth)) * option.trust
-	price := wait + (float64(query.Chain.Size())-saved)*perByte
+	cached := float64(query.Chain.Size()-query.Chain.Missing(option.depth)) * option.share
+	price := perByte * (float64(option.track.Queue(query.Now, query.PerByte)) + weight*(float64(query.Chain.Size())-cached))
 	if !option.track.Local {
-		price += localGain
+		price += awayCost
 	}
 	return price
 }
 
 // known adds the open holders of the deepest levels.
 func (c *cost) known(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
-	var room [8]mapper.Holder
-	for level := query.Chain.Depth() - 1; level >= 0 && len(found) < 16; level-- {
-		for _, holder := range c.holders.Holders(query.Chain.Level(level), query.Now, room[:0]) {
+	var space [8]mapper.Holder
+	for level := query.Chain.Depth() - 1; level >= 0 && len(found) < holders; level-- {
+		for _, holder := range c.holders.Holders(query.Chain.Level(level), query.Now, space[:0]) {
 			track := bySlot(tracks, holder.Slot)
 			if track == nil || !query.Usable(track) || has(found, track) {
 				continue
 			}
-			trust := math.Exp2(-float64(holder.Age) / float64(halfTrust))
-			found = append(found, candidate{track: track, depth: level + 1, trust: trust, reason: "holder"})
+			kind := truster.Holder(holder.Age)
+			found = append(found, candidate{track: track, depth: level + 1, kind: kind, share: c.trust.Share(kind), reason: "holder"})
 		}
 	}
 	return found
 }
 
-// ranks adds the first endpoints in rendezvous order for the first level and
-// for the deepest ones.
-func ranks(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
-	depth := query.Chain.Depth()
-	for level := range depth {
-		if level > 0 && level < depth-rankedTop {
+// ranks adds the first endpoints in rendezvous order of the prefixes of 1, 2,
+// 4, 8 and so on levels, the longest first. Prompts that part late share the
+// short ones, so that all instances look for them at the same endpoints.
+func (c *cost) ranks(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
+	depth := 1
+	for depth*2 <= query.Chain.Depth() {
+		depth *= 2
+	}
+	for ; depth > 0 && depth <= query.Chain.Depth(); depth /= 2 {
+		if len(found) > room-sampled-ranked {
+			break
+		}
+		found = c.rankLevel(query, depth, tracks, found)
+	}
+	return found
+}
+
+func (c *cost) rankLevel(query chooser.Query, depth int, tracks []*tracker.Track, found []candidate) []candidate {
+	for rank, track := range top(query, query.Chain.Level(depth-1), tracks) {
+		if track == nil || has(found, track) {
 			continue
 		}
-		found = rankLevel(query, query.Chain.Level(level), tracks, found)
+		found = append(found, candidate{track: track, depth: depth, share: c.blind(rank), reason: "ranked"})
 	}
 	return found
 }
 
-func rankLevel(query chooser.Query, key uint64, tracks []*tracker.Track, found []candidate) []candidate {
-	var top [ranked]*tracker.Track
+// blind returns how far the rendezvous order alone is trusted: much when the
+// map sees little, and little when it would show the prefix if it were there.
+func (c *cost) blind(rank int) float64 {
+	coverage := c.holders.Coverage()
+	share := blindShare*(1-coverage) + seeingShare*coverage
+	return share / float64(rank+1)
+}
+
+// top returns the first usable endpoints in rendezvous order of key.
+func top(query chooser.Query, key uint64, tracks []*tracker.Track) [ranked]*tracker.Track {
+	var best [ranked]*tracker.Track
 	var ranks [ranked]uint64
 	for _, track := range tracks {
 		rank := ranker.Rank(key, track.Hash)
@@ -115,16 +191,11 @@
 		}
 		place := ranked - 1
 		for ; place > 0 && rank > ranks[place-1]; place-- {
-			top[place], ranks[place] = top[place-1], ranks[place-1]
+			best[place], ranks[place] = best[place-1], ranks[place-1]
 		}
-		top[place], ranks[place] = track, rank
+		best[place], ranks[place] = track, rank
 	}
-	for _, track := range top {
-		if track != nil && !has(found, track) {
-			found = append(found, candidate{track: track, reason: "ranked"})
-		}
-	}
-	return found
+	return best
 }
 
 func samples(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
--- a/inferrer/attempt.go
+++ b/inferrer/attempt.go
@@ -27,7 +27,7 @@
 func (e *Engine) start(name, salt string, prompt prompter.Prompt) *attempt {
 	chain := hasher.New(salt, prompt.Model, e.weights, prompt.Text, e.options.Piece)
 	a := &attempt{name: name, salt: salt, prompt: prompt, changed: make(chan struct{})}
-	depth := e.cache.depth(chain)
+	depth := e.cache.Depth(chain)
 	a.cached = min(depth*e.options.Piece, len(prompt.Text))
 	missing := chain.Missing(depth)
 	a.queue = e.queue
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -16,6 +16,7 @@
 
 	"wisteriadrum/muter"
 
+	"wisteriadrum/cacher"
 	"wisteriadrum/hasher"
 	"wisteriadrum/prompter"
 	"wisteriadrum/reporter"
@@ -53,7 +54,7 @@
 	mu       sync.Mutex
 	faults   Faults
 	attempts map[string]*attempt
-	cache    *cache
+	cache    *cacher.Cache
 	weights  string
 	queue    int // prompt bytes waiting
 	running  int
@@ -76,7 +77,7 @@
 func New(options Options) *Engine {
 	e := &Engine{
 		options: options, incarnation: uuid.NewString(), weights: options.Weights,
-		attempts: map[string]*attempt{}, cache: newCache(options.Pieces), begun: map[string]int{},
+		attempts: map[string]*attempt{}, cache: cacher.New(options.Pieces, nil), begun: map[string]int{},
 	}
 	e.http = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, Logger: muter.New(), MaxRequestBodySize: 64 << 20}
 	return e
@@ -121,7 +122,7 @@
 	defer e.mu.Unlock()
 	e.weights = weights
 	e.incarnation = uuid.NewString()
-	e.cache = newCache(e.options.Pieces)
+	e.cache = cacher.New(e.options.Pieces, nil)
 }
 
 // Stats returns what the engine has done so far.
@@ -171,12 +172,12 @@
 	e.prefill.Lock()
 	defer e.prefill.Unlock()
 	e.mu.Lock()
-	missing := chain.Missing(e.cache.depth(chain))
+	missing := chain.Missing(e.cache.Depth(chain))
 	e.mu.Unlock()
 	time.Sleep(time.Duration(missing * e.options.PerByte))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cache.add(chain)
+	e.cache.Add(chain)
 	e.queue -= queued
 	e.stats.Computed += missing
 	e.stats.Cached += chain.Size() - missing
--- a/instance.go
+++ b/instance.go
@@ -40,6 +40,7 @@
 	"wisteriadrum/storer"
 	"wisteriadrum/streamer"
 	"wisteriadrum/tabler"
+	"wisteriadrum/truster"
 )
 
 const (
@@ -95,7 +96,7 @@
 	owner := settings.Name + "@" + self.Boot.Format(time.RFC3339Nano)
 	i.claims = claimer.New(owner, settings.Peer, i.batch, table, store, i.gossip, count, now)
 
-	pick := picker.New(i.board, coster.New(holders), balancer.New(), holders, ward, count, now, i.gossip.Alarm)
+	pick := picker.New(i.board, coster.New(holders, truster.New()), balancer.New(), holders, ward, count, now, i.gossip.Alarm)
 	budget := budgeter.New()
 	streams := streamer.New(i.board, endpoints, pick, budget, count, now)
 	services := attempter.New(endpoints, pick, i.claims, budget, count, now)
--- a/mapper/map.go
+++ b/mapper/map.go
@@ -2,6 +2,7 @@
 package mapper
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -12,6 +13,8 @@
 	tick        = 100 * time.Millisecond
 	entryBytes  = 8 + 4*width
 	minimumSize = 1 << 8 // buckets
+	// coverageWeight is the pull of one event on the coverage.
+	coverageWeight = 0.002
 )
 
 // Holder is an endpoint incarnation that was last known to hold a prefix Age ago.
@@ -27,6 +30,9 @@
 	mask    uint64
 	start   time.Time
 	slots   atomic.Uint32
+	// coverage is the bits of a float64. Of two that write it at the same
+	// moment one may be lost.
+	coverage atomic.Uint64
 }
 
 type bucket [ways]entry
@@ -95,6 +101,19 @@
 	return list
 }
 
+// Coverage returns the share of the engines' cache events that arrive, 0 if
+// none have been heard of.
+func (m *Map) Coverage() float64 { return math.Float64frombits(m.coverage.Load()) }
+
+// Heard takes in that so many cache events have arrived and so many are known
+// to be missing.
+func (m *Map) Heard(arrived, missing int) {
+	old := m.Coverage()
+	share := float64(arrived) / float64(max(arrived+missing, 1))
+	pull := 1 - math.Pow(1-coverageWeight, float64(arrived+missing))
+	m.coverage.Store(math.Float64bits(old + pull*(share-old)))
+}
+
 // Bytes returns the memory that the map takes.
 func (m *Map) Bytes() int { return len(m.buckets) * ways * entryBytes }
 
--- /dev/null
+++ b/replayer/routing_test.go
@@ -0,0 +1,95 @@
+package replayer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wisteriadrum/balancer"
+	"wisteriadrum/bounder"
+	"wisteriadrum/chooser"
+	"wisteriadrum/coster"
+	"wisteriadrum/eventer"
+	"wisteriadrum/mapper"
+	"wisteriadrum/randomizer"
+	"wisteriadrum/replayer"
+	"wisteriadrum/spreader"
+	"wisteriadrum/truster"
+)
+
+const (
+	length     = 60 * time.Second // of virtual time
+	seeds      = 3
+	hashLevel  = 10 // pieces: the preamble and the document of both shapes
+	boundLoad  = 1.25
+	mapBytes   = 8 << 20
+	ours       = "cost"
+	warmedUpBy = 3 * time.Second
+)
+
+type contender struct {
+	name string
+	mind func(time.Time) replayer.Mind
+}
+
+func contenders() []contender {
+	plain := func(policy chooser.Policy) func(time.Time) replayer.Mind {
+		return func(time.Time) replayer.Mind { return replayer.Mind{Policy: policy} }
+	}
+	return []contender{
+		{"random", plain(randomizer.New())},
+		{"least", plain(balancer.New())},
+		{"hash", plain(spreader.New(hashLevel))},
+		{"bounded", plain(bounder.New(hashLevel, boundLoad))},
+		{"events", func(time.Time) replayer.Mind {
+			events := eventer.New(balancer.New())
+			return replayer.Mind{Policy: events, Events: events}
+		}},
+		{ours, func(start time.Time) replayer.Mind {
+			holders := mapper.New(mapBytes, start)
+			return replayer.Mind{Policy: coster.New(holders, truster.New()), Holders: holders, Heeds: true}
+		}},
+	}
+}
+
+// BenchmarkRouting prints one line for each deployment, condition and policy:
+// the mean over seeds of each measure.
+func BenchmarkRouting(b *testing.B) {
+	for _, site := range []replayer.Site{replayer.Consorzio(), replayer.Gwasg()} {
+		for _, scene := range replayer.Scenes() {
+			for _, c := range contenders() {
+				b.Run(fmt.Sprintf("%s/%s/%s", site.Name, scene.Name, c.name), func(b *testing.B) {
+					for b.Loop() {
+						measure(b, site, scene, c)
+					}
+				})
+			}
+		}
+	}
+}
+
+func measure(b *testing.B, site replayer.Site, scene replayer.Scene, c contender) {
+	var sum replayer.Result
+	for seed := range uint64(seeds) {
+		r := replayer.Run(site, scene, c.mind, seed+1, length)
+		sum.HitRate += r.HitRate / seeds
+		sum.P50 += r.P50 / seeds
+		sum.P95 += r.P95 / seeds
+		sum.P99 += r.P99 / seeds
+		sum.OthersP99 += r.OthersP99 / seeds
+		sum.Wasted += r.Wasted / seeds
+		sum.Asked += r.Asked / seeds
+		sum.Skew += r.Skew / seeds
+		sum.Refused += r.Refused
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(100*sum.HitRate, "hit%")
+	b.ReportMetric(sum.P50, "p50ms")
+	b.ReportMetric(sum.P95, "p95ms")
+	b.ReportMetric(sum.P99, "p99ms")
+	b.ReportMetric(sum.OthersP99, "others-p99ms")
+	b.ReportMetric(100*sum.Wasted, "wasted%")
+	b.ReportMetric(sum.Skew, "skew")
+	b.ReportMetric(sum.Asked, "asked/req")
+	b.ReportMetric(float64(sum.Refused), "refused")
+}
