Ask for fresh loads, learn and read cache events in the product

Change: the picker asks the policy's shortlist for their load within 20 ms and passes on what answers show; a tailer reads the engines' cache events within a budget of bytes a second and tells the map its coverage; chains are seeded with the salt, as the engines' are; the map finds a holder's track by its slot.

--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -15,6 +15,7 @@
 	defaultHeader = 16 << 10
 	defaultFlight = 2000
 	defaultMap    = 32 << 20 // bytes
+	defaultEvents = 16 << 10 // bytes a second
 )
 
 // Settings is everything that one instance is told at its start.
@@ -44,6 +45,8 @@
 	Flight int `json:"flight,omitempty"`
 	// Map is the memory for the cache map, in bytes.
 	Map int `json:"map,omitempty"`
+	// Events is the budget for reading cache events, in bytes a second.
+	Events int `json:"events,omitempty"`
 }
 
 // New reads settings from JSON with comments. The error lists every fault.
@@ -62,6 +65,7 @@
 	next.Header = orDefault(s.Header, defaultHeader)
 	next.Flight = orDefault(s.Flight, defaultFlight)
 	next.Map = orDefault(s.Map, defaultMap)
+	next.Events = orDefault(s.Events, defaultEvents)
 	return &next
 }
 
@@ -107,8 +111,8 @@
 	if s.PeerTLS.Set() && s.PeerTLS.Authority == "" {
 		report("peer_tls", "needs an authority, by which instances know one another")
 	}
-	if s.Body < 0 || s.Header < 0 || s.Flight < 0 || s.Map < 0 {
-		report("body", "body, header, flight and map must not be negative")
+	if s.Body < 0 || s.Header < 0 || s.Flight < 0 || s.Map < 0 || s.Events < 0 {
+		report("body", "body, header, flight, map and events must not be negative")
 	}
 }
 
--- a/coster/cost.go
+++ b/coster/cost.go
@@ -109,7 +109,7 @@
 }
 
 func (c *cost) candidates(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
-	found = c.known(query, tracks, found)
+	found = c.known(query, found)
 	found = c.ranks(query, tracks, found)
 	return samples(query, tracks, found)
 }
@@ -130,11 +130,11 @@
 }
 
 // known adds the open holders of the deepest levels.
-func (c *cost) known(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
+func (c *cost) known(query chooser.Query, found []candidate) []candidate {
 	var space [8]mapper.Holder
 	for level := query.Chain.Depth() - 1; level >= 0 && len(found) < holders; level-- {
 		for _, holder := range c.holders.Holders(query.Chain.Level(level), query.Now, space[:0]) {
-			track := bySlot(tracks, holder.Slot)
+			track := c.holders.Owner(holder.Slot)
 			if track == nil || !query.Usable(track) || has(found, track) {
 				continue
 			}
@@ -226,12 +226,3 @@
 	}
 	return false
 }
-
-func bySlot(tracks []*tracker.Track, slot uint16) *tracker.Track {
-	for _, track := range tracks {
-		if track.View().Slot == slot {
-			return track
-		}
-	}
-	return nil
-}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -4,6 +4,7 @@
 import (
 	"wisteriadrum/answerer"
 	"wisteriadrum/caller"
+	"wisteriadrum/pager"
 	"wisteriadrum/reporter"
 )
 
@@ -16,4 +17,6 @@
 	Cancel(address, attempt string) error
 	// Load asks the endpoint at address for its load.
 	Load(address string) (reporter.Report, error)
+	// Events asks the endpoint at address for the cache events after a number.
+	Events(address string, after uint64) (pager.Page, error)
 }
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -18,6 +18,7 @@
 	"wisteriadrum/caller"
 	"wisteriadrum/judge"
 	"wisteriadrum/packer"
+	"wisteriadrum/pager"
 	"wisteriadrum/pooler"
 	"wisteriadrum/refuser"
 	"wisteriadrum/reporter"
@@ -98,26 +99,37 @@
 }
 
 func (d *httpDialer) Load(address string) (reporter.Report, error) {
-	now := d.now()
+	var report reporter.Report
+	err := d.get(address, "/v1/load", &report)
+	report.Incarnation = packer.Incarnation(report.Incarnation)
+	return report, err
+}
+
+func (d *httpDialer) Events(address string, after uint64) (pager.Page, error) {
+	var page pager.Page
+	err := d.get(address, "/v1/events?after="+strconv.FormatUint(after, 10), &page)
+	page.Incarnation = packer.Incarnation(page.Incarnation)
+	return page, err
+}
+
+// get reads a small JSON document.
+func (d *httpDialer) get(address, path string, target any) error {
 	answer, err := d.Open(caller.Call{
-		Address: address, Method: fasthttp.MethodGet, Path: "/v1/load",
-		FirstBy: now.Add(loadTimeout), IdleBy: func(now time.Time) time.Time { return now.Add(loadTimeout) },
+		Address: address, Method: fasthttp.MethodGet, Path: path,
+		FirstBy: d.now().Add(loadTimeout), IdleBy: func(now time.Time) time.Time { return now.Add(loadTimeout) },
 	})
 	if err != nil {
-		return reporter.Report{}, err
+		return err
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxLoadBytes))
 	answer.Close(err == nil)
 	if err != nil {
-		return reporter.Report{}, eris.Wrap(err, "read load report")
+		return eris.Wrapf(err, "read %s", path)
 	}
 	if answer.Status != fasthttp.StatusOK {
-		return reporter.Report{}, eris.Errorf("load report has status %d", answer.Status)
+		return eris.Errorf("%s has status %d", path, answer.Status)
 	}
-	var report reporter.Report
-	err = json.Unmarshal(body, &report)
-	report.Incarnation = packer.Incarnation(report.Incarnation)
-	return report, eris.Wrap(err, "decode load report")
+	return eris.Wrapf(json.Unmarshal(body, target), "decode %s", path)
 }
 
 func (d *httpDialer) exchange(conn *pooler.Conn, call caller.Call) (*answerer.Answer, error) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -19,6 +19,7 @@
 	"wisteriadrum/messenger"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/tabler"
+	"wisteriadrum/tracker"
 )
 
 const (
@@ -52,7 +53,7 @@
 	board  *keeper.Board
 	ward   *quarantiner.Ward
 	follow *follower.Follower
-	slot   func() uint16
+	slot   func(*tracker.Track) uint16
 	dial   func(address string) (net.Conn, error)
 	count  *counter.Counter
 	log    *zap.Logger
@@ -72,7 +73,7 @@
 
 // New returns a gossiper for the instance self, which asks seeds first and
 // opens connections with dial.
-func New(self messenger.Member, seeds []string, board *keeper.Board, ward *quarantiner.Ward, follow *follower.Follower, slot func() uint16, dial func(address string) (net.Conn, error), count *counter.Counter, log *zap.Logger, now func() time.Time) *Gossiper {
+func New(self messenger.Member, seeds []string, board *keeper.Board, ward *quarantiner.Ward, follow *follower.Follower, slot func(*tracker.Track) uint16, dial func(address string) (net.Conn, error), count *counter.Counter, log *zap.Logger, now func() time.Time) *Gossiper {
 	return &Gossiper{
 		self: self, seeds: seeds, board: board, ward: ward, follow: follow, slot: slot, dial: dial,
 		count: count, log: log, now: now, news: make(chan struct{}, 1),
--- a/identifier/request.go
+++ b/identifier/request.go
@@ -122,7 +122,7 @@
 	if levels := len(prompt.Text) / r.Model.PieceBytes(); levels > maxLevels {
 		return refuser.New(refuser.TooDeep, judge.NotRun, "the prompt has %d pieces, more than %d", levels, maxLevels)
 	}
-	r.Chain = hasher.New(r.Workspace.Name, r.Model.Name, r.Pool.Version, prompt.Text, r.Model.PieceBytes())
+	r.Chain = hasher.New(r.Salt, prompt.Model, r.Pool.Version, prompt.Text, r.Model.PieceBytes())
 	return nil
 }
 
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -18,6 +18,7 @@
 
 	"wisteriadrum/cacher"
 	"wisteriadrum/hasher"
+	"wisteriadrum/pager"
 	"wisteriadrum/prompter"
 	"wisteriadrum/reporter"
 	"wisteriadrum/severer"
@@ -59,6 +60,8 @@
 	queue    int // prompt bytes waiting
 	running  int
 	begun    map[string]int // runs by prompt
+	events   []pager.Event
+	sequence uint64
 	prefill  sync.Mutex
 	crashed  bool
 	stats    Stats
@@ -77,8 +80,9 @@
 func New(options Options) *Engine {
 	e := &Engine{
 		options: options, incarnation: uuid.NewString(), weights: options.Weights,
-		attempts: map[string]*attempt{}, cache: cacher.New(options.Pieces, nil), begun: map[string]int{},
+		attempts: map[string]*attempt{}, begun: map[string]int{},
 	}
+	e.cache = e.emptyCache()
 	e.http = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, Logger: muter.New(), MaxRequestBodySize: 64 << 20}
 	return e
 }
@@ -116,13 +120,38 @@
 	return e.crashed
 }
 
+func (e *Engine) emptyCache() *cacher.Cache {
+	return cacher.New(e.options.Pieces, func(level uint64) { e.log(pager.Event{Level: level}) })
+}
+
+const keptEvents = 512
+
+// log keeps an event; the oldest are lost. The lock must be held.
+func (e *Engine) log(event pager.Event) {
+	e.events = append(e.events, event)
+	e.sequence++
+	if len(e.events) > keptEvents {
+		e.events = e.events[len(e.events)-keptEvents:]
+	}
+}
+
+// page returns the kept events after a number.
+func (e *Engine) page(after uint64) pager.Page {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	oldest := e.sequence - uint64(len(e.events))
+	from := min(max(after, oldest), e.sequence)
+	return pager.New(e.incarnation, from, e.events[from-oldest:])
+}
+
 // Load replaces the weights, which empties the cache.
 func (e *Engine) Load(weights string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.weights = weights
 	e.incarnation = uuid.NewString()
-	e.cache = cacher.New(e.options.Pieces, nil)
+	e.cache = e.emptyCache()
+	e.events, e.sequence = nil, 0
 }
 
 // Stats returns what the engine has done so far.
@@ -177,6 +206,9 @@
 	time.Sleep(time.Duration(missing * e.options.PerByte))
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, level := range chain.Levels()[e.cache.Depth(chain):] {
+		e.log(pager.Event{Level: level, Stored: true})
+	}
 	e.cache.Add(chain)
 	e.queue -= queued
 	e.stats.Computed += missing
--- a/inferrer/http.go
+++ b/inferrer/http.go
@@ -29,6 +29,9 @@
 		e.Fail(faults)
 	case path == "/stats":
 		_ = json.NewEncoder(ctx).Encode(e.Stats()) // writes to memory
+	case path == "/v1/events":
+		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64) // none means all
+		_ = json.NewEncoder(ctx).Encode(e.page(after))                               // writes to memory
 	case path == "/v1/load":
 		_ = json.NewEncoder(ctx).Encode(e.load()) // writes to memory
 	case strings.HasPrefix(path, "/v1/attempts/") && ctx.IsDelete():
--- a/instance.go
+++ b/instance.go
@@ -40,6 +40,7 @@
 	"wisteriadrum/storer"
 	"wisteriadrum/streamer"
 	"wisteriadrum/tabler"
+	"wisteriadrum/tailer"
 	"wisteriadrum/truster"
 )
 
@@ -68,6 +69,7 @@
 	publish  *publisher.Publisher
 	gossip   *gossiper.Gossiper
 	probe    *prober.Prober
+	tail     *tailer.Tailer
 	server   *server.Server
 	operator *fasthttp.Server
 }
@@ -92,11 +94,12 @@
 	i.publish = publisher.New(table, store)
 	i.gossip = gossiper.New(self, settings.Peers, i.board, ward, i.follow, holders.Slot, dial, count, log, now)
 	i.probe = prober.New(settings.Name, i.board, endpoints, holders.Slot, count, now)
+	i.tail = tailer.New(i.board, endpoints, holders, settings.Events, count, now)
 	i.batch = batcher.New(table, count)
 	owner := settings.Name + "@" + self.Boot.Format(time.RFC3339Nano)
 	i.claims = claimer.New(owner, settings.Peer, i.batch, table, store, i.gossip, count, now)
 
-	pick := picker.New(i.board, coster.New(holders, truster.New()), balancer.New(), holders, ward, count, now, i.gossip.Alarm)
+	pick := picker.New(i.board, coster.New(holders, truster.New()), balancer.New(), endpoints, holders, ward, count, now, i.gossip.Alarm)
 	budget := budgeter.New()
 	streams := streamer.New(i.board, endpoints, pick, budget, count, now)
 	services := attempter.New(endpoints, pick, i.claims, budget, count, now)
@@ -122,6 +125,7 @@
 	go i.gossip.Run(background)
 	go i.follow.Run(background)
 	go i.probe.Run(background)
+	go i.tail.Run(background)
 	go i.share(background)
 	go i.keepStops(background)
 	i.log.Info("instance serving", zap.String("name", i.settings.Name), zap.String("caller", listeners.caller.Addr().String()))
--- a/mapper/map.go
+++ b/mapper/map.go
@@ -5,6 +5,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"wisteriadrum/tracker"
 )
 
 const (
@@ -30,6 +32,7 @@
 	mask    uint64
 	start   time.Time
 	slots   atomic.Uint32
+	owners  [1 << 16]atomic.Pointer[tracker.Track]
 	// coverage is the bits of a float64. Of two that write it at the same
 	// moment one may be lost.
 	coverage atomic.Uint64
@@ -51,10 +54,22 @@
 	return &Map{buckets: make([]bucket, size), mask: size - 1, start: start}
 }
 
-// Slot returns a new name for an endpoint incarnation. Names are never 0.
+// Slot returns a new name for an incarnation of owner. Names are never 0.
 // They are used again after 65,535 incarnations.
-func (m *Map) Slot() uint16 {
-	return uint16((m.slots.Add(1)-1)%(1<<16-1)) + 1
+func (m *Map) Slot(owner *tracker.Track) uint16 {
+	slot := uint16((m.slots.Add(1)-1)%(1<<16-1)) + 1
+	m.owners[slot].Store(owner)
+	return slot
+}
+
+// Owner returns the endpoint that slot names, or nil if its incarnation has
+// ended.
+func (m *Map) Owner(slot uint16) *tracker.Track {
+	owner := m.owners[slot].Load()
+	if owner == nil || owner.View().Slot != slot {
+		return nil
+	}
+	return owner
 }
 
 // Note records that slot holds the prefix level at now.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -32,14 +32,14 @@
 	name   string
 	board  *keeper.Board
 	dialer dialer.Dialer
-	slot   func() uint16
+	slot   func(*tracker.Track) uint16
 	count  *counter.Counter
 	now    func() time.Time
 	pool   pond.Pool
 }
 
 // New returns a prober for the instance named name.
-func New(name string, board *keeper.Board, dial dialer.Dialer, slot func() uint16, count *counter.Counter, now func() time.Time) *Prober {
+func New(name string, board *keeper.Board, dial dialer.Dialer, slot func(*tracker.Track) uint16, count *counter.Counter, now func() time.Time) *Prober {
 	return &Prober{name: name, board: board, dialer: dial, slot: slot, count: count, now: now, pool: pond.NewPool(atOnce)}
 }
 
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -252,7 +252,7 @@
 // hear lets an instance learn from the head of an answer.
 func (w *world) hear(s *seat, r *request, track *tracker.Track, incarnation string, queued int) {
 	if s.Holders == nil {
-		track.Answer(incarnation, queued, w.now, func() uint16 { return 1 })
+		track.Answer(incarnation, queued, w.now, s.slot())
 		return
 	}
 	track.Answer(incarnation, queued, w.now, s.Holders.Slot)
@@ -332,9 +332,9 @@
 	w.after(pollEvery/2+time.Duration(w.rand.Int64N(int64(pollEvery))), func() { w.poll(i) })
 }
 
-func (s *seat) slot() func() uint16 {
+func (s *seat) slot() func(*tracker.Track) uint16 {
 	if s.Holders == nil {
-		return func() uint16 { return 1 }
+		return func(*tracker.Track) uint16 { return 1 }
 	}
 	return s.Holders.Slot
 }
--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -10,6 +10,7 @@
 
 	"wisteriadrum/answerer"
 	"wisteriadrum/caller"
+	"wisteriadrum/chooser"
 	"wisteriadrum/chunker"
 	"wisteriadrum/judge"
 	"wisteriadrum/refuser"
@@ -31,6 +32,7 @@
 	*generation
 	ctx         context.Context
 	track       *tracker.Track
+	choice      chooser.Choice
 	call        caller.Call
 	name        string
 	sequence    int // of the event relayed last
@@ -116,6 +118,7 @@
 	a.incarnation = answer.Incarnation
 	a.picker.Heard(a.request, a.track, answer)
 	if answer.Cached >= 0 && !a.adopted && a.sequence == 0 {
+		a.picker.Learn(a.request, a.choice, answer.Cached)
 		a.count.Observe("cache.hit-permille", int64(1000*answer.Cached/max(a.request.Chain.Size(), 1)))
 	}
 	err = a.relay(answer)
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wisteriadrum/budgeter"
+	"wisteriadrum/chooser"
 	"wisteriadrum/counter"
 	"wisteriadrum/dialer"
 	"wisteriadrum/identifier"
@@ -70,7 +71,7 @@
 		if err != nil {
 			return g.verdict(err)
 		}
-		outcome, err := s.attempt(ctx, g, choice.Track, choice.Depth)
+		outcome, err := s.attempt(ctx, g, choice)
 		if outcome == finished {
 			s.budget.Earn()
 			return nil
@@ -140,12 +141,13 @@
 	return err
 }
 
-func (s *Streamer) attempt(ctx context.Context, g *generation, track *tracker.Track, depth int) (outcome, error) {
+func (s *Streamer) attempt(ctx context.Context, g *generation, choice chooser.Choice) (outcome, error) {
 	name := fmt.Sprintf("%s-%d", g.request.ID, g.moves)
-	a := s.newAttempt(ctx, g, track, name)
-	a.bytes = g.request.Chain.Missing(min(depth, g.request.Chain.Depth()))
-	track.Begin(a.bytes)
-	defer track.End()
+	a := s.newAttempt(ctx, g, choice.Track, name)
+	a.choice = choice
+	a.bytes = g.request.Chain.Missing(min(choice.Depth, g.request.Chain.Depth()))
+	choice.Track.Begin(a.bytes)
+	defer choice.Track.End()
 	defer a.heardFirst()
 	return a.run()
 }
--- /dev/null
+++ b/tailer/tailer.go
@@ -0,0 +1,121 @@
+// Package tailer reads the engines' cache events within a budget of bytes and
+// puts them into the cache map.
+package tailer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/dialer"
+	"wisteriadrum/grouper"
+	"wisteriadrum/keeper"
+	"wisteriadrum/mapper"
+	"wisteriadrum/tracker"
+)
+
+const (
+	roundEvery = 500 * time.Millisecond
+	// pageBytes and eventBytes are what one page costs, and each of its events.
+	pageBytes  = 300
+	eventBytes = 12
+)
+
+// Tailer follows the events of as many endpoints as its budget allows.
+type Tailer struct {
+	board   *keeper.Board
+	dialer  dialer.Dialer
+	holders *mapper.Map
+	budget  *rate.Limiter
+	count   *counter.Counter
+	now     func() time.Time
+	places  map[string]place // by endpoint
+}
+
+// place is how far the events of an endpoint have been read.
+type place struct {
+	incarnation string
+	last        uint64
+}
+
+// New returns a tailer that reads about so many bytes a second.
+func New(board *keeper.Board, dial dialer.Dialer, holders *mapper.Map, bytes int, count *counter.Counter, now func() time.Time) *Tailer {
+	return &Tailer{
+		board: board, dialer: dial, holders: holders, budget: rate.NewLimiter(rate.Limit(bytes), bytes),
+		count: count, now: now, places: map[string]place{},
+	}
+}
+
+// Run reads events until ctx ends.
+func (t *Tailer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.round(ctx)
+		timer := time.NewTimer(roundEvery)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// round visits the engines in random order until the budget is spent.
+func (t *Tailer) round(ctx context.Context) {
+	index := t.board.Index.Load()
+	if index == nil {
+		return
+	}
+	endpoints := index.Set.Endpoints
+	for _, i := range rand.Perm(len(endpoints)) {
+		endpoint := endpoints[i]
+		track := t.board.Fleet.Load().Track(endpoint.Name)
+		if ctx.Err() != nil || track == nil || index.Pool(endpoint.Pool).Kind != grouper.Engine || !track.Open(t.now()) {
+			continue
+		}
+		if !t.budget.AllowN(t.now(), pageBytes) {
+			t.count.Add("events", "over-budget")
+			return
+		}
+		t.read(track)
+	}
+}
+
+func (t *Tailer) read(track *tracker.Track) {
+	name := track.Endpoint.Name
+	at := t.places[name]
+	page, err := t.dialer.Events(track.Endpoint.Address, at.last)
+	if err != nil {
+		t.count.Add("events", "failures")
+		return
+	}
+	if page.Incarnation != at.incarnation {
+		// The numbers of another incarnation begin anew.
+		at = place{incarnation: page.Incarnation}
+		if page.Last() < t.places[name].last {
+			t.places[name] = at
+			return
+		}
+	}
+	t.budget.ReserveN(t.now(), min(len(page.Events)*eventBytes, t.budget.Burst()))
+	missing := 0
+	if page.After > at.last {
+		missing = int(page.After - at.last)
+		t.count.Add("events", "gaps")
+	}
+	t.holders.Heard(len(page.Events), missing)
+	t.places[name] = place{incarnation: page.Incarnation, last: page.Last()}
+	if track.View().Incarnation != page.Incarnation {
+		return // the map cannot name this incarnation yet
+	}
+	slot := track.View().Slot
+	for _, event := range page.Events {
+		if event.Stored {
+			t.holders.Note(event.Level, slot, t.now())
+		} else {
+			t.holders.Forget(event.Level, slot)
+		}
+	}
+}
--- a/tracker/track.go
+++ b/tracker/track.go
@@ -89,7 +89,7 @@
 // name for an incarnation that was not seen before. A late report of an
 // incarnation that has been replaced cannot be told from a new one, so it
 // costs knowledge but never correctness.
-func (t *Track) Report(report reporter.Report, now time.Time, slot func() uint16) {
+func (t *Track) Report(report reporter.Report, now time.Time, slot func(*Track) uint16) {
 	t.writer.Lock()
 	defer t.writer.Unlock()
 	old := t.view.Load()
@@ -101,13 +101,13 @@
 	}
 	next := &View{Report: report, At: now, Slot: old.Slot, mark: t.sent.Load()}
 	if report.Incarnation != old.Incarnation {
-		next.Slot = slot()
+		next.Slot = slot(t)
 	}
 	t.view.Store(next)
 }
 
 // Answer takes in the head of an answer, which says less than a report.
-func (t *Track) Answer(incarnation string, queue int, now time.Time, slot func() uint16) {
+func (t *Track) Answer(incarnation string, queue int, now time.Time, slot func(*Track) uint16) {
 	report := t.View().Report
 	if incarnation != "" && incarnation != report.Incarnation {
 		report = reporter.Report{Incarnation: incarnation, Weights: report.Weights}
--- a/tracker/track_test.go
+++ b/tracker/track_test.go
@@ -15,7 +15,7 @@
 func TestNewIncarnationHasNewSlot(t *testing.T) {
 	track := tracker.New(worker.Endpoint{Name: "e"}, true)
 	slots := uint16(0)
-	slot := func() uint16 { slots++; return slots }
+	slot := func(*tracker.Track) uint16 { slots++; return slots }
 	now := time.Unix(1000, 0)
 	track.Report(reporter.Report{Incarnation: "one"}, now, slot)
 	first := track.View().Slot
@@ -32,7 +32,7 @@
 	const perByte = 1000 // nanoseconds
 	track := tracker.New(worker.Endpoint{Name: "e"}, true)
 	now := time.Unix(1000, 0)
-	track.Report(reporter.Report{Incarnation: "one", Queue: 10000}, now, func() uint16 { return 1 })
+	track.Report(reporter.Report{Incarnation: "one", Queue: 10000}, now, func(*tracker.Track) uint16 { return 1 })
 	assert.Equal(t, track.Queue(now, perByte), 10000)
 	assert.Equal(t, track.Queue(now.Add(4*time.Millisecond), perByte), 6000)
 	track.Begin(3000)
