Look the rendezvous order up in kept permutations

Cause: a decision at 880 workers took 46 us, most of it the scan that ranks all endpoints for each of four levels; the target is 20 us.

Ruled out: fewer ranked levels (the long ones carry the hit rate); a cheaper hash of our own (hashes come from libraries).

Change: the permutation-based hashing of the related paper: 4,096 buckets, each with the first 8 endpoints in rendezvous order, made when the set changes.

--- a/chooser/policy.go
+++ b/chooser/policy.go
@@ -8,6 +8,7 @@
 
 	"wisteriadrum/director"
 	"wisteriadrum/hasher"
+	"wisteriadrum/permuter"
 	"wisteriadrum/tracker"
 )
 
@@ -19,6 +20,8 @@
 	// PerByte is the prefill time of one prompt byte in nanoseconds.
 	PerByte int
 	Weigh   director.Weigh
+	// Order is the rendezvous order of the endpoints, by their places.
+	Order *permuter.Order
 	// Barred reports endpoints that must not be chosen, such as those tried
 	// before. It may be nil.
 	Barred func(*tracker.Track) bool
--- a/coster/cost.go
+++ b/coster/cost.go
@@ -11,7 +11,6 @@
 	"wisteriadrum/chooser"
 	"wisteriadrum/director"
 	"wisteriadrum/mapper"
-	"wisteriadrum/ranker"
 	"wisteriadrum/tracker"
 	"wisteriadrum/truster"
 )
@@ -180,20 +179,16 @@
 	return share / float64(rank+1)
 }
 
-// top returns the first usable endpoints in rendezvous order of key.
+// top returns the first usable endpoints in rendezvous order of key, nil in
+// the places of those that are closed beyond the kept beginning of the order.
 func top(query chooser.Query, key uint64, tracks []*tracker.Track) [ranked]*tracker.Track {
 	var best [ranked]*tracker.Track
-	var ranks [ranked]uint64
-	for _, track := range tracks {
-		rank := ranker.Rank(key, track.Hash)
-		if rank <= ranks[ranked-1] || !query.Usable(track) {
-			continue
-		}
-		place := ranked - 1
-		for ; place > 0 && rank > ranks[place-1]; place-- {
-			best[place], ranks[place] = best[place-1], ranks[place-1]
+	count := 0
+	for _, place := range query.Order.First(key) {
+		if track := tracks[place]; count < ranked && query.Usable(track) {
+			best[count] = track
+			count++
 		}
-		best[place], ranks[place] = track, rank
 	}
 	return best
 }
--- a/coster/cost_test.go
+++ b/coster/cost_test.go
@@ -12,6 +12,7 @@
 	"wisteriadrum/coster"
 	"wisteriadrum/hasher"
 	"wisteriadrum/mapper"
+	"wisteriadrum/permuter"
 	"wisteriadrum/reporter"
 	"wisteriadrum/tracker"
 	"wisteriadrum/truster"
@@ -31,8 +32,12 @@
 	return list
 }
 
-func query(chain hasher.Chain) chooser.Query {
-	return chooser.Query{Chain: chain, Now: start, Rand: rand.New(rand.NewPCG(1, 1)), PerByte: perByte}
+func query(chain hasher.Chain, list []*tracker.Track) chooser.Query {
+	hashes := make([]uint64, len(list))
+	for i, track := range list {
+		hashes[i] = track.Hash
+	}
+	return chooser.Query{Order: permuter.New(hashes), Chain: chain, Now: start, Rand: rand.New(rand.NewPCG(1, 1)), PerByte: perByte}
 }
 
 // A fresh instance, which knows nothing, chooses what the others choose.
@@ -41,9 +46,10 @@
 	var chosen string
 	for i := range 20 {
 		holders := mapper.New(1<<20, start)
-		q := query(chain)
+		list := tracks(holders, 40)
+		q := query(chain, list)
 		q.Rand = rand.New(rand.NewPCG(uint64(i), 1))
-		choice := coster.New(holders, truster.New()).Choose(q, tracks(holders, 40))
+		choice := coster.New(holders, truster.New()).Choose(q, list)
 		if chosen == "" {
 			chosen = choice.Track.Endpoint.Name
 		}
@@ -61,16 +67,16 @@
 	for _, level := range chain.Levels() {
 		holders.Note(level, list[7].View().Slot, start)
 	}
-	assert.Equal(t, policy.Choose(query(chain), list).Track, list[7])
+	assert.Equal(t, policy.Choose(query(chain, list), list).Track, list[7])
 	other := hasher.New("other", "m", "v", string(make([]byte, 48000)), 4000)
-	assert.Equal(t, policy.Choose(query(other), list).Depth < 12, true, "another workspace's prefix is no holder")
+	assert.Equal(t, policy.Choose(query(other, list), list).Depth < 12, true, "another workspace's prefix is no holder")
 	list[7].Stop(true)
-	assert.Assert(t, policy.Choose(query(chain), list).Track != list[7])
+	assert.Assert(t, policy.Choose(query(chain, list), list).Track != list[7])
 	list[7].Stop(false)
 	list[7].Report(reporter.Report{Incarnation: "one", Queue: 5_000_000}, start.Add(time.Millisecond), holders.Slot)
-	assert.Assert(t, policy.Choose(query(chain), list).Track != list[7], "it is overrun")
+	assert.Assert(t, policy.Choose(query(chain, list), list).Track != list[7], "it is overrun")
 	list[7].Report(reporter.Report{Incarnation: "two"}, start.Add(2*time.Millisecond), holders.Slot)
-	assert.Assert(t, policy.Choose(query(chain), list).Reason != "holder")
+	assert.Assert(t, policy.Choose(query(chain, list), list).Reason != "holder")
 }
 
 // BenchmarkDecision gives the time of one decision by the number of workers
@@ -86,14 +92,15 @@
 					holders.Note(uint64(i)*0x9e3779b97f4a7c15, list[i%workers].View().Slot, start)
 				}
 				policy := coster.New(holders, truster.New())
+				q := query(hasher.Chain{}, list)
+				q.Rand = random
 				b.ReportAllocs()
 				for b.Loop() {
 					levels := make([]uint64, 12)
 					for i := range levels {
 						levels[i] = random.Uint64N(uint64(prefixes)) * 0x9e3779b97f4a7c15
 					}
-					q := query(hasher.Of(levels, 4000, 48400))
-					q.Rand = random
+					q.Chain = hasher.Of(levels, 4000, 48400)
 					policy.Choose(q, list)
 				}
 			})
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -55,12 +55,14 @@
 	if known && suspect.Refused() {
 		return chooser.Choice{}, refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints and is refused until %s", len(suspect.Losses), suspect.Until.UTC().Format(time.RFC3339)).WithRetryAt(suspect.Until)
 	}
+	fleet := p.board.Fleet.Load()
 	query := chooser.Query{
+		Order: fleet.Order(request.Route.Pool),
 		Chain: request.Chain, Now: now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		PerByte: request.Pool.Prefill, Weigh: request.Route.Weigh,
 		Barred: func(track *tracker.Track) bool { return barred(track, tried, suspect.Losses) },
 	}
-	tracks := p.board.Fleet.Load().Pool(request.Route.Pool)
+	tracks := fleet.Pool(request.Route.Pool)
 	if !known && len(tried) == 0 {
 		p.ask(query, request, tracks)
 	}
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -10,6 +10,7 @@
 	"wisteriadrum/composer"
 	"wisteriadrum/hasher"
 	"wisteriadrum/mapper"
+	"wisteriadrum/permuter"
 	"wisteriadrum/tracker"
 	"wisteriadrum/worker"
 )
@@ -45,6 +46,7 @@
 	Mind
 	site   int
 	tracks []*tracker.Track
+	order  *permuter.Order
 	rand   *rand.Rand
 	missed int // cache events since the last that arrived
 }
@@ -90,6 +92,11 @@
 	for _, e := range w.engines {
 		s.tracks = append(s.tracks, tracker.New(worker.Endpoint{Name: e.name}, e.site == s.site))
 	}
+	var hashes []uint64
+	for _, track := range s.tracks {
+		hashes = append(hashes, track.Hash)
+	}
+	s.order = permuter.New(hashes)
 	return s
 }
 
@@ -161,7 +168,7 @@
 		return
 	}
 	query := chooser.Query{
-		Chain: r.chain, Now: w.now, Rand: s.rand, PerByte: w.site.PerByte, Weigh: w.site.Weigh,
+		Order: s.order, Chain: r.chain, Now: w.now, Rand: s.rand, PerByte: w.site.PerByte, Weigh: w.site.Weigh,
 		Barred: func(track *tracker.Track) bool { return w.barred(s, r, track) },
 	}
 	if w.ask(s, r, query) {
