Trust the order where the map is blind; catch up from engines; limit floods

An endpoint known as a doubtful old holder was skipped when its place in the rendezvous order was a better guess, so requests left the place all instances agree on.

Change: the better guess of two about one endpoint counts; blind trust 0.9; a fresh instance reads the events that engines still keep; the flood scene limits every workspace to twice its usual rate, as a set would.

--- a/cacher/cache.go
+++ b/cacher/cache.go
@@ -37,6 +37,9 @@
 	return chain.Depth()
 }
 
+// Levels returns all levels cached, the one used longest ago first.
+func (c *Cache) Levels() []uint64 { return c.entries.Keys() }
+
 // Add puts all levels of chain in, the deepest first, so that shorter
 // prefixes outlast longer ones. It returns how many were new.
 func (c *Cache) Add(chain hasher.Chain) int {
--- a/coster/cost.go
+++ b/coster/cost.go
@@ -26,7 +26,7 @@
 	wasteMissing = 40.0
 	// blindShare and seeingShare are how far the first in rendezvous order is
 	// trusted to hold a prefix without and with cache events.
-	blindShare  = 0.8
+	blindShare  = 0.9
 	seeingShare = 0.1
 	// awayCost is the cost of leaving the data centre, in nanoseconds.
 	awayCost = float64(2 * time.Millisecond)
@@ -97,7 +97,7 @@
 
 func (c *cost) choice(option candidate) chooser.Choice {
 	choice := chooser.Choice{Track: option.track, Reason: option.reason}
-	choice.Depth = int(math.Round(float64(option.depth) * option.share))
+	choice.Depth = int(math.Round(option.expected()))
 	if option.reason != "holder" {
 		return choice
 	}
@@ -163,10 +163,11 @@
 
 func (c *cost) rankLevel(query chooser.Query, depth int, tracks []*tracker.Track, found []candidate) []candidate {
 	for rank, track := range top(query, query.Chain.Level(depth-1), tracks) {
-		if track == nil || has(found, track) {
+		if track == nil {
 			continue
 		}
-		found = append(found, candidate{track: track, depth: depth, share: c.blind(rank), reason: "ranked"})
+		guess := candidate{track: track, depth: depth, share: c.blind(rank), reason: "ranked"}
+		found = addBetter(found, guess)
 	}
 	return found
 }
@@ -193,6 +194,24 @@
 	return best
 }
 
+// addBetter adds guess, or puts it in the place of a guess about the same
+// endpoint that expects less.
+func addBetter(found []candidate, guess candidate) []candidate {
+	for i := range found {
+		if found[i].track != guess.track {
+			continue
+		}
+		if found[i].expected() < guess.expected() {
+			found[i] = guess
+		}
+		return found
+	}
+	return append(found, guess)
+}
+
+// expected returns the number of levels expected in the cache.
+func (c candidate) expected() float64 { return float64(c.depth) * c.share }
+
 func samples(query chooser.Query, tracks []*tracker.Track, found []candidate) []candidate {
 	for range min(sampled, len(tracks)) {
 		track := tracks[query.Rand.IntN(len(tracks))]
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -19,6 +19,8 @@
 	// Requests is the number answered, and Refused of those given up.
 	Requests int
 	Refused  int
+	// Limited is the number refused by the limits of their workspace.
+	Limited int
 	// HitRate is the share of prompt bytes found in caches.
 	HitRate float64
 	// P50, P95 and P99 are times to the first token in milliseconds.
@@ -28,6 +30,9 @@
 	// Wasted is the share of prompt bytes computed although a live engine
 	// held them.
 	Wasted float64
+	// Herd is the hit rate of the first second after half time over that of
+	// the five seconds before.
+	Herd float64
 	// Asked is the number of fresh loads asked for, for each request.
 	Asked float64
 	// Skew is the largest number of bytes computed by an engine over the mean.
@@ -37,8 +42,11 @@
 	bytes, hit     int
 	wasted         int
 	refused        int
+	limited        int
 	asked          int
 	start          time.Time
+	half           time.Time
+	before, after  tally
 	flooder        int
 }
 
@@ -64,8 +72,10 @@
 
 func (r *Result) close(w *world) {
 	r.Refused = r.refused
+	r.Limited = r.limited
 	r.HitRate = share(r.hit, r.bytes)
 	r.Wasted = share(r.wasted, r.bytes)
+	r.Herd = share(r.after.hit, r.after.bytes) / max(share(r.before.hit, r.before.bytes), 0.01)
 	r.Asked = float64(r.asked) / float64(max(r.Requests, 1))
 	r.P50 = milliseconds(r.firsts, 50)
 	r.P95 = milliseconds(r.firsts, 95)
@@ -84,6 +94,26 @@
 	return fmt.Sprintf("hit %.3f p50 %.0f p95 %.0f p99 %.0f ms wasted %.4f skew %.2f n %d refused %d", r.HitRate, r.P50, r.P95, r.P99, r.Wasted, r.Skew, r.Requests, r.Refused)
 }
 
+// tally sums up prompt bytes.
+type tally struct{ bytes, hit int }
+
+func (t *tally) add(bytes, hit int) {
+	t.bytes += bytes
+	t.hit += hit
+}
+
+// admitted counts the prompt bytes of a request and those found cached.
+func (r *Result) admitted(now time.Time, bytes, hit int) {
+	r.bytes += bytes
+	r.hit += hit
+	switch since := now.Sub(r.half); {
+	case since < 0 && since > -5*time.Second:
+		r.before.add(bytes, hit)
+	case since >= 0 && since < time.Second:
+		r.after.add(bytes, hit)
+	}
+}
+
 func milliseconds(histogram *hdrhistogram.Histogram, quantile float64) float64 {
 	return float64(histogram.ValueAtQuantile(quantile)) / 1000
 }
--- a/replayer/routing_test.go
+++ b/replayer/routing_test.go
@@ -80,6 +80,8 @@
 		sum.Wasted += r.Wasted / seeds
 		sum.Asked += r.Asked / seeds
 		sum.Skew += r.Skew / seeds
+		sum.Herd += r.Herd / seeds
+		sum.Limited += r.Limited
 		sum.Refused += r.Refused
 	}
 	b.ReportMetric(0, "ns/op")
@@ -91,5 +93,7 @@
 	b.ReportMetric(100*sum.Wasted, "wasted%")
 	b.ReportMetric(sum.Skew, "skew")
 	b.ReportMetric(sum.Asked, "asked/req")
+	b.ReportMetric(100*sum.Herd, "halftime%")
+	b.ReportMetric(float64(sum.Limited), "limited")
 	b.ReportMetric(float64(sum.Refused), "refused")
 }
--- a/replayer/scene.go
+++ b/replayer/scene.go
@@ -55,7 +55,8 @@
 	Load float64
 	// Shift moves the hot prefixes at half time.
 	Shift bool
-	// Flood is the load that one workspace adds in the second half.
+	// Flood is the load that one workspace adds in the second half. All
+	// workspaces are then limited to twice their usual rate.
 	Flood float64
 	// Loss is the share of cache events that are lost.
 	Loss float64
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -14,6 +14,7 @@
 	"wisteriadrum/grouper"
 	"wisteriadrum/keeper"
 	"wisteriadrum/mapper"
+	"wisteriadrum/pager"
 	"wisteriadrum/tracker"
 )
 
@@ -87,28 +88,20 @@
 	name := track.Endpoint.Name
 	at := t.places[name]
 	page, err := t.dialer.Events(track.Endpoint.Address, at.last)
+	if err == nil && at.incarnation != "" && page.Incarnation != at.incarnation {
+		// The numbers of another incarnation begin anew.
+		at = place{}
+		page, err = t.dialer.Events(track.Endpoint.Address, 0)
+	}
 	if err != nil {
 		t.count.Add("events", "failures")
 		return
 	}
-	if page.Incarnation != at.incarnation {
-		// The numbers of another incarnation begin anew.
-		at = place{incarnation: page.Incarnation}
-		if page.Last() < t.places[name].last {
-			t.places[name] = at
-			return
-		}
-	}
 	t.budget.ReserveN(t.now(), min(len(page.Events)*eventBytes, t.budget.Burst()))
-	missing := 0
-	if page.After > at.last {
-		missing = int(page.After - at.last)
-		t.count.Add("events", "gaps")
-	}
-	t.holders.Heard(len(page.Events), missing)
+	t.holders.Heard(len(page.Events), t.missing(at, page))
 	t.places[name] = place{incarnation: page.Incarnation, last: page.Last()}
 	if track.View().Incarnation != page.Incarnation {
-		return // the map cannot name this incarnation yet
+		track.Answer(page.Incarnation, -1, t.now(), t.holders.Slot)
 	}
 	slot := track.View().Slot
 	for _, event := range page.Events {
@@ -119,3 +112,13 @@
 		}
 	}
 }
+
+// missing returns how many events were lost before page. What an engine has
+// dropped before the first look at it does not count.
+func (t *Tailer) missing(at place, page pager.Page) int {
+	if at.incarnation == "" || page.After <= at.last {
+		return 0
+	}
+	t.count.Add("events", "gaps")
+	return int(page.After - at.last)
+}
