Order weights under a fenced lease; gather claims at a few instances

Cause: weights were loaded by hand, and a fleet of many instances would spread its claims over as many small transactions.

Change: a lease with a fencing number in the table, taken only while an engine holds other weights than the set names; at most two loads at once, and never fewer serving engines than the pool names; older versions may answer while the set lists them. In a data centre of more than four instances, four picked by rendezvous batch the claims of all.

--- a/answerer/answer.go
+++ b/answerer/answer.go
@@ -10,6 +10,8 @@
 	Attempt     string
 	// Incarnation changes each time the endpoint starts.
 	Incarnation string
+	// Weights is the version that the endpoint holds, or empty.
+	Weights string
 	// Cached is the number of prompt bytes found in the endpoint's cache,
 	// or -1 when the endpoint did not say.
 	Cached int
--- a/cataloguer/set.go
+++ b/cataloguer/set.go
@@ -72,8 +72,10 @@
 		refer(report, models, pool.Model, "pools", i, "model")
 		return
 	}
-	if !s.Models[place].Has(pool.Version) {
-		report(fmt.Sprintf("pools[%d].version", i), fmt.Sprintf("model %q has no version %q", pool.Model, pool.Version))
+	for _, version := range append([]string{pool.Version}, pool.Older...) {
+		if !s.Models[place].Has(version) {
+			report(fmt.Sprintf("pools[%d].version", i), fmt.Sprintf("model %q has no version %q", pool.Model, version))
+		}
 	}
 }
 
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -4,6 +4,7 @@
 import (
 	"wisteriadrum/answerer"
 	"wisteriadrum/caller"
+	"wisteriadrum/commander"
 	"wisteriadrum/pager"
 	"wisteriadrum/reporter"
 )
@@ -19,4 +20,6 @@
 	Load(address string) (reporter.Report, error)
 	// Events asks the endpoint at address for the cache events after a number.
 	Events(address string, after uint64) (pager.Page, error)
+	// Order gives the endpoint at address an order.
+	Order(address string, order commander.Order) error
 }
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -16,6 +16,7 @@
 
 	"wisteriadrum/answerer"
 	"wisteriadrum/caller"
+	"wisteriadrum/commander"
 	"wisteriadrum/judge"
 	"wisteriadrum/packer"
 	"wisteriadrum/pager"
@@ -112,6 +113,25 @@
 	return page, err
 }
 
+func (d *httpDialer) Order(address string, order commander.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return eris.Wrap(err, "encode order")
+	}
+	answer, err := d.Open(caller.Call{
+		Address: address, Method: fasthttp.MethodPost, Path: "/v1/orders", ContentType: "application/json", Body: body, Fresh: true,
+		FirstBy: d.now().Add(loadTimeout), IdleBy: func(now time.Time) time.Time { return now.Add(loadTimeout) },
+	})
+	if err != nil {
+		return err
+	}
+	answer.Close(false)
+	if answer.Status != fasthttp.StatusOK {
+		return eris.Errorf("endpoint at %s refused the order: %s", address, answer.Reason)
+	}
+	return nil
+}
+
 // get reads a small JSON document.
 func (d *httpDialer) get(address, path string, target any) error {
 	answer, err := d.Open(caller.Call{
@@ -165,6 +185,7 @@
 		ContentType: string(head.ContentType()),
 		Attempt:     string(head.Peek(HeaderAttempt)),
 		Incarnation: packer.Incarnation(string(head.Peek(HeaderIncarnation))),
+		Weights:     string(head.Peek(HeaderWeights)),
 		Cached:      number(head.Peek(HeaderCached)),
 		Queue:       number(head.Peek(HeaderQueue)),
 		Refused:     string(head.Peek(HeaderVerdict)) == judge.NotRun.String(),
--- a/grouper/pool.go
+++ b/grouper/pool.go
@@ -1,7 +1,11 @@
 // Package grouper describes pools of endpoints that do the same work.
 package grouper
 
-import "wisteriadrum/namer"
+import (
+	"slices"
+
+	"wisteriadrum/namer"
+)
 
 // Kind says what the endpoints of a pool are.
 type Kind string
@@ -19,6 +23,9 @@
 	Kind    Kind   `json:"kind"`
 	Model   string `json:"model,omitempty"`
 	Version string `json:"version,omitempty"`
+	// Older lists versions of the weights that may still answer while the
+	// engines are being brought to Version.
+	Older []string `json:"older,omitempty"`
 	// Fenced means that the engines refuse orders with an old fencing number.
 	Fenced bool `json:"fenced,omitempty"`
 	// Continues means that an engine can go on from text already generated.
@@ -29,6 +36,11 @@
 	Prefill int `json:"prefill,omitempty"`
 }
 
+// Accepts reports whether weights may answer the pool's requests.
+func (p Pool) Accepts(weights string) bool {
+	return weights == p.Version || slices.Contains(p.Older, weights)
+}
+
 // Check reports each fault of p.
 func (p *Pool) Check(report func(path, text string)) {
 	if !namer.Valid(p.Name) {
@@ -40,7 +52,7 @@
 			report("model", "an engine pool needs a model and a version")
 		}
 	case Service:
-		if p.Model != "" || p.Version != "" || p.Continues {
+		if p.Model != "" || p.Version != "" || p.Continues || len(p.Older) > 0 {
 			report("kind", "a service pool has no model, version or continues")
 		}
 	default:
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -12,11 +12,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"wisteriadrum/muter"
 
 	"wisteriadrum/cacher"
+	"wisteriadrum/commander"
 	"wisteriadrum/hasher"
 	"wisteriadrum/pager"
 	"wisteriadrum/prompter"
@@ -35,6 +37,10 @@
 	PerByte int
 	// PerToken is the time between two tokens in microseconds.
 	PerToken int
+	// Fenced refuses orders with an old fencing number.
+	Fenced bool
+	// LoadTime is the time to load weights.
+	LoadTime time.Duration
 	// Crash is called when a request crashes the engine. It must not return
 	// before the engine is gone.
 	Crash func()
@@ -64,6 +70,9 @@
 	sequence uint64
 	prefill  sync.Mutex
 	crashed  bool
+	fence    uint64 // the highest obeyed
+	loads    int    // under way
+	history  []string
 	stats    Stats
 }
 
@@ -144,6 +153,42 @@
 	return pager.New(e.incarnation, from, e.events[from-oldest:])
 }
 
+// Obey takes an order, and refuses one with an old fence if the engine checks
+// them. The weights are loaded once what runs has ended.
+func (e *Engine) Obey(order commander.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.Fenced && order.Fence < e.fence {
+		return eris.Errorf("fence %d is older than %d", order.Fence, e.fence)
+	}
+	e.fence = max(e.fence, order.Fence)
+	if e.weights == order.Weights || e.loads > 0 {
+		return nil
+	}
+	e.loads++
+	go e.fetch(order.Weights)
+	return nil
+}
+
+func (e *Engine) fetch(weights string) {
+	for e.load().Running > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(e.options.LoadTime)
+	e.Load(weights)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads--
+	e.history = append(e.history, weights)
+}
+
+// History returns the weights loaded by order, the oldest first.
+func (e *Engine) History() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.history...)
+}
+
 // Load replaces the weights, which empties the cache.
 func (e *Engine) Load(weights string) {
 	e.mu.Lock()
@@ -192,7 +237,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return reporter.Report{
-		Incarnation: e.incarnation, Running: e.running, Queue: e.queue, Weights: e.weights, Leaving: e.faults.Leaving,
+		Loading: e.loads > 0, Fence: e.fence, Incarnation: e.incarnation, Running: e.running, Queue: e.queue, Weights: e.weights, Leaving: e.faults.Leaving,
 	}
 }
 
@@ -214,3 +259,9 @@
 	e.stats.Computed += missing
 	e.stats.Cached += chain.Size() - missing
 }
+
+// Loading reports whether weights are being loaded.
+func (e *Engine) Loading() bool { return e.load().Loading }
+
+// Weights returns the version of the weights.
+func (e *Engine) Weights() string { return e.load().Weights }
--- a/inferrer/http.go
+++ b/inferrer/http.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriadrum/chunker"
+	"wisteriadrum/commander"
 	"wisteriadrum/dialer"
 	"wisteriadrum/identifier"
 	"wisteriadrum/judge"
@@ -29,6 +30,8 @@
 		e.Fail(faults)
 	case path == "/stats":
 		_ = json.NewEncoder(ctx).Encode(e.Stats()) // writes to memory
+	case path == "/v1/orders":
+		e.handleOrder(ctx)
 	case path == "/v1/events":
 		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64) // none means all
 		_ = json.NewEncoder(ctx).Encode(e.page(after))                               // writes to memory
@@ -43,6 +46,18 @@
 	}
 }
 
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var order commander.Order
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if err := e.Obey(order); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+		ctx.Response.Header.Set(dialer.HeaderReason, err.Error())
+	}
+}
+
 func (e *Engine) handleCancel(ctx *fasthttp.RequestCtx, name string) {
 	ctx.Response.Header.Set(dialer.HeaderAttempt, name)
 	e.mu.Lock()
@@ -72,6 +87,7 @@
 		e.options.Crash()
 		return
 	}
+	ctx.Response.Header.Set(dialer.HeaderWeights, weights)
 	if a == nil {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.Response.Header.Set(dialer.HeaderVerdict, judge.NotRun.String())
@@ -82,7 +98,6 @@
 		a = e.other(a)
 		ctx.Response.Header.Set(dialer.HeaderAttempt, a.name)
 	}
-	ctx.Response.Header.Set(dialer.HeaderWeights, weights)
 	ctx.Response.Header.Set(dialer.HeaderCached, strconv.Itoa(a.cached))
 	ctx.Response.Header.Set(dialer.HeaderQueue, strconv.Itoa(a.queue))
 	e.stream(ctx, a, resumeAt(head), faults)
@@ -112,7 +127,7 @@
 	if wanted := string(head.Peek(dialer.HeaderWeights)); wanted != "" && wanted != e.weights {
 		return nil, "wrong-weights"
 	}
-	if e.faults.Leaving || e.faults.Refuse > 0 {
+	if e.faults.Leaving || e.faults.Refuse > 0 || e.loads > 0 {
 		e.faults.Refuse = max(e.faults.Refuse-1, 0)
 		return nil, "busy"
 	}
--- a/instance.go
+++ b/instance.go
@@ -25,13 +25,16 @@
 	"wisteriadrum/dialer"
 	"wisteriadrum/fetcher"
 	"wisteriadrum/follower"
+	"wisteriadrum/forwarder"
 	"wisteriadrum/gossiper"
 	"wisteriadrum/keeper"
+	"wisteriadrum/leaser"
 	"wisteriadrum/limiter"
 	"wisteriadrum/lister"
 	"wisteriadrum/mapper"
 	"wisteriadrum/messenger"
 	"wisteriadrum/operator"
+	"wisteriadrum/orderer"
 	"wisteriadrum/picker"
 	"wisteriadrum/prober"
 	"wisteriadrum/publisher"
@@ -70,6 +73,7 @@
 	gossip   *gossiper.Gossiper
 	probe    *prober.Prober
 	tail     *tailer.Tailer
+	orders   *orderer.Orderer
 	server   *server.Server
 	operator *fasthttp.Server
 }
@@ -97,7 +101,10 @@
 	i.tail = tailer.New(i.board, endpoints, holders, settings.Events, count, now)
 	i.batch = batcher.New(table, count)
 	owner := settings.Name + "@" + self.Boot.Format(time.RFC3339Nano)
-	i.claims = claimer.New(owner, settings.Peer, i.batch, table, store, i.gossip, count, now)
+	lease := leaser.New(table, orderer.LeaseKey, owner, now)
+	i.orders = orderer.New(settings.Name, i.board, endpoints, lease, holders.Slot, count, log, now)
+	forward := forwarder.New(self, i.board, i.batch, i.gossip, count)
+	i.claims = claimer.New(owner, settings.Peer, forward, table, store, i.gossip, count, now)
 
 	pick := picker.New(i.board, coster.New(holders, truster.New()), balancer.New(), endpoints, holders, ward, count, now, i.gossip.Alarm)
 	budget := budgeter.New()
@@ -126,6 +133,7 @@
 	go i.follow.Run(background)
 	go i.probe.Run(background)
 	go i.tail.Run(background)
+	go i.orders.Run(background)
 	go i.share(background)
 	go i.keepStops(background)
 	i.log.Info("instance serving", zap.String("name", i.settings.Name), zap.String("caller", listeners.caller.Addr().String()))
--- /dev/null
+++ b/leaser/lease_test.go
@@ -0,0 +1,59 @@
+package leaser_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/commander"
+	"wisteriadrum/inferrer"
+	"wisteriadrum/leaser"
+	"wisteriadrum/storekeeper"
+	"wisteriadrum/tabler"
+)
+
+type table struct{ *storekeeper.Platform }
+
+func (t table) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
+	return t.Read(keys...), nil
+}
+
+func (t table) Apply(_ context.Context, writes []tabler.Write) ([]tabler.Row, error) {
+	return t.Transact(writes), nil
+}
+
+// A holder that was frozen past its lease may not act, cannot renew, and its
+// orders lose against those of the next holder.
+func TestFrozenHolderLosesTheLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	shared := table{storekeeper.New(clock)}
+	first, second := leaser.New(shared, "lease", "one", clock), leaser.New(shared, "lease", "two", clock)
+	old, err := first.Take(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, old.Valid(now))
+	_, err = second.Take(t.Context())
+	assert.ErrorIs(t, err, leaser.ErrHeld)
+	now = now.Add(5 * time.Second)
+	renewed, err := first.Take(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, renewed.Fence, old.Fence)
+	assert.Assert(t, !old.Valid(now.Add(3*time.Second)), "the first term has ended")
+
+	now = now.Add(11 * time.Second) // frozen meanwhile
+	assert.Assert(t, !renewed.Valid(now))
+	_, err = second.Take(t.Context())
+	assert.ErrorIs(t, err, leaser.ErrHeld, "clocks may differ by the margin")
+	now = now.Add(3 * time.Second)
+	next, err := second.Take(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, next.Fence > renewed.Fence)
+	_, err = first.Take(t.Context())
+	assert.ErrorIs(t, err, leaser.ErrHeld)
+
+	engine := inferrer.New(inferrer.Options{Weights: "v1", Pieces: 1, Fenced: true})
+	assert.NilError(t, engine.Obey(commander.Order{Fence: next.Fence, Weights: "v2"}))
+	assert.Assert(t, engine.Obey(commander.Order{Fence: renewed.Fence, Weights: "v1"}) != nil, "an older order undoes a newer one")
+}
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -23,6 +23,7 @@
 	ageUnit   = 100 * time.Millisecond
 	oldest    = math.MaxUint8
 	leaving   = 1
+	loading   = 2
 	queueUnit = 64 // bytes
 )
 
@@ -54,7 +55,7 @@
 			At:    now.Add(-time.Duration(packed[8]) * ageUnit),
 			Report: reporter.Report{
 				Incarnation: name(binary.BigEndian.Uint32(packed[2:])),
-				Queue:       expand(packed[6]), Running: int(packed[7]), Leaving: packed[9]&leaving != 0,
+				Queue:       expand(packed[6]), Running: int(packed[7]), Leaving: packed[9]&leaving != 0, Loading: packed[9]&loading != 0,
 			},
 		})
 	}
@@ -62,10 +63,14 @@
 }
 
 func flags(report reporter.Report) uint8 {
+	var bits uint8
 	if report.Leaving {
-		return leaving
+		bits |= leaving
 	}
-	return 0
+	if report.Loading {
+		bits |= loading
+	}
+	return bits
 }
 
 // squeeze keeps the four highest bits of a size in queueUnit, rounded up.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -119,7 +119,7 @@
 func (p *Picker) Heard(request *identifier.Request, track *tracker.Track, answer *answerer.Answer) {
 	now := p.now()
 	if answer.Incarnation != "" {
-		track.Answer(answer.Incarnation, answer.Queue, now, p.holders.Slot)
+		track.Answer(answer.Incarnation, answer.Weights, answer.Queue, now, p.holders.Slot)
 	}
 	track.Restore()
 	if answer.Refused || request.Chain.Depth() == 0 {
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -302,10 +302,10 @@
 // hear lets an instance learn from the head of an answer.
 func (w *world) hear(s *seat, r *request, track *tracker.Track, incarnation string, queued int) {
 	if s.Holders == nil {
-		track.Answer(incarnation, queued, w.now, s.slot())
+		track.Answer(incarnation, "", queued, w.now, s.slot())
 		return
 	}
-	track.Answer(incarnation, queued, w.now, s.Holders.Slot)
+	track.Answer(incarnation, "", queued, w.now, s.Holders.Slot)
 	for _, level := range r.chain.Levels() {
 		s.Holders.Note(level, track.View().Slot, w.now)
 	}
--- a/reporter/report.go
+++ b/reporter/report.go
@@ -12,6 +12,8 @@
 	Weights string `json:"weights,omitempty"`
 	// Leaving means that the endpoint takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Loading means that the engine loads weights and takes no new work.
+	Loading bool `json:"loading,omitempty"`
 	// Evicted is the age in milliseconds of the block evicted last, or 0.
 	Evicted int `json:"evicted,omitempty"`
 	// Sequence is the number of the newest cache event.
--- a/stager/streams_test.go
+++ b/stager/streams_test.go
@@ -13,6 +13,7 @@
 	"wisteriadrum/cataloguer"
 	"wisteriadrum/inferrer"
 	"wisteriadrum/stager"
+	"wisteriadrum/storekeeper"
 )
 
 // Every stream reaches its caller complete and in order, whatever the engines do.
@@ -244,6 +245,7 @@
 	stage.Set.Pools[0].Version = "v2"
 	_, err := stage.Instances[0].Publish(t.Context(), stage.Set.Encode(), nil)
 	assert.NilError(t, err)
+	stage.Platform.Fail(storekeeper.Faults{Down: true}) // so that nobody orders v2
 	got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: body})
 	assert.Assert(t, !got.complete || got.code != "", "answered from weights v1: %v", got)
 	assert.Equal(t, got.verdict, "not-run")
--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -63,12 +63,21 @@
 		call: caller.Call{
 			Address: track.Endpoint.Address, Attempt: name, Method: g.request.Method, Path: g.request.Path,
 			ContentType: "application/json", Body: prompt.Encode(), Salt: g.request.Salt,
-			Weights: g.request.Pool.Version, Priority: g.request.Workspace.Priority,
+			Weights: weightsOf(g, track), Priority: g.request.Workspace.Priority,
 			SendBy: g.request.Route.FirstBy(now), FirstBy: g.request.Route.FirstBy(now), IdleBy: g.request.Route.IdleBy,
 		},
 	}
 }
 
+// weightsOf returns the weights to demand of track: those it holds if the pool
+// accepts them, else the pool's own.
+func weightsOf(g *generation, track *tracker.Track) string {
+	if weights := track.View().Weights; g.request.Pool.Accepts(weights) {
+		return weights
+	}
+	return g.request.Pool.Version
+}
+
 // run connects until the answer is complete or the endpoint is given up.
 func (a *attempt) run() (outcome, error) {
 	var last error
@@ -104,6 +113,7 @@
 	}
 	if answer.Refused {
 		answer.Close(false)
+		a.picker.Heard(a.request, a.track, answer)
 		return a.refused(answer)
 	}
 	if answer.Status != statusOK {
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -101,7 +101,7 @@
 	t.holders.Heard(len(page.Events), t.missing(at, page))
 	t.places[name] = place{incarnation: page.Incarnation, last: page.Last()}
 	if track.View().Incarnation != page.Incarnation {
-		track.Answer(page.Incarnation, -1, t.now(), t.holders.Slot)
+		track.Answer(page.Incarnation, "", -1, t.now(), t.holders.Slot)
 	}
 	slot := track.View().Slot
 	for _, event := range page.Events {
--- a/tracker/track.go
+++ b/tracker/track.go
@@ -107,10 +107,13 @@
 }
 
 // Answer takes in the head of an answer, which says less than a report.
-func (t *Track) Answer(incarnation string, queue int, now time.Time, slot func(*Track) uint16) {
+func (t *Track) Answer(incarnation, weights string, queue int, now time.Time, slot func(*Track) uint16) {
 	report := t.View().Report
 	if incarnation != "" && incarnation != report.Incarnation {
-		report = reporter.Report{Incarnation: incarnation, Weights: report.Weights}
+		report = reporter.Report{Incarnation: incarnation}
+	}
+	if weights != "" {
+		report.Weights = weights
 	}
 	if queue >= 0 {
 		report.Queue = queue
@@ -134,7 +137,10 @@
 func (t *Track) Stop(stopped bool) { t.stopped.Store(stopped) }
 
 // Leaving reports whether the endpoint must get no new work.
-func (t *Track) Leaving() bool { return t.stopped.Load() || t.view.Load().Leaving }
+func (t *Track) Leaving() bool {
+	view := t.view.Load()
+	return t.stopped.Load() || view.Leaving || view.Loading
+}
 
 // Open reports whether the endpoint may get new work at now.
 func (t *Track) Open(now time.Time) bool {
--- a/tracker/track_test.go
+++ b/tracker/track_test.go
@@ -21,7 +21,7 @@
 	first := track.View().Slot
 	track.Report(reporter.Report{Incarnation: "one"}, now.Add(time.Second), slot)
 	assert.Equal(t, track.View().Slot, first)
-	track.Answer("two", 0, now.Add(2*time.Second), slot)
+	track.Answer("two", "v1", 0, now.Add(2*time.Second), slot)
 	assert.Assert(t, track.View().Slot != first)
 	late := track.View()
 	track.Report(reporter.Report{Incarnation: "one"}, now.Add(time.Second), slot)
