--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -43,15 +44,29 @@
 	Pieces   int    `default:"400" help:"Pieces that the cache holds."`
 	PerByte  int    `default:"5000" help:"Prefill time of a byte in nanoseconds."`
 	PerToken int    `default:"2000" help:"Time of a token in microseconds."`
+	Count    int    `default:"1" help:"Engines to run, on ports from that of listen."`
 	Poison   string `help:"Text that crashes the engine when a prompt contains it."`
 }
 
 func (c *engineCmd) Run() error {
+	first, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, c.Count)
+	for i := range c.Count {
+		address := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i))
+		go func() { failed <- c.run(address.String()) }()
+	}
+	return <-failed
+}
+
+func (c *engineCmd) run(address string) error {
 	engine := inferrer.New(inferrer.Options{
 		Weights: c.Weights, Piece: c.Piece, Pieces: c.Pieces, PerByte: c.PerByte, PerToken: c.PerToken,
 		Crash: func() { os.Exit(crashStatus) },
 	})
-	return serve(c.Listen, func(listener net.Listener) error {
+	return serve(address, func(listener net.Listener) error {
 		if c.Poison != "" {
 			engine.Fail(inferrer.Faults{Poison: c.Poison})
 		}
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -16,8 +16,11 @@
 }
 
 // Add counts one event of reason in group.
-func (c *Counter) Add(group, reason string) {
-	metrics.GetOrRegisterCounter(group+"."+reason, c.registry).Inc(1)
+func (c *Counter) Add(group, reason string) { c.AddMany(group, reason, 1) }
+
+// AddMany counts many events of reason in group.
+func (c *Counter) AddMany(group, reason string, many int) {
+	metrics.GetOrRegisterCounter(group+"."+reason, c.registry).Inc(int64(many))
 }
 
 // Value returns how often reason was counted in group.
--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -4,10 +4,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"reflect"
-	"sort"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -32,7 +33,9 @@
 	if len(d.problems) == 0 {
 		return nil
 	}
-	sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].Line < d.problems[j].Line })
+	slices.SortFunc(d.problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Text, b.Text))
+	})
 	return d.problems
 }
 
--- a/gossiper/digest.go
+++ b/gossiper/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,14 +16,7 @@
 	now := g.now()
 	g.mu.Lock()
 	digest := &messenger.Digest{From: g.selfNow()}
-	for _, known := range g.members { // in random order
-		if len(digest.Members) == sampled {
-			break
-		}
-		if now.Sub(known.heard) < deadAfter {
-			digest.Members = append(digest.Members, known.Member)
-		}
-	}
+	digest.Members, digest.Beats = g.sample(now)
 	g.mu.Unlock()
 	stops := g.board.Stops.Load()
 	digest.StopsHash, digest.Stops = stops.Hash(), stops.List()
@@ -34,6 +28,45 @@
 	return digest
 }
 
+// sample returns a few live members in full and the beats of many. The lock
+// must be held.
+func (g *Gossiper) sample(now time.Time) ([]messenger.Member, []byte) {
+	var members []messenger.Member
+	var beats []packer.Beat
+	for _, known := range g.members { // in random order
+		if now.Sub(known.heard) >= deadAfter {
+			continue
+		}
+		if len(members) < sampled {
+			members = append(members, known.Member)
+		}
+		beats = append(beats, packer.Beat{Boot: packer.BootOf(known.Name, known.Boot), Count: uint32(known.Beat), Leaving: known.Leaving})
+		if len(beats) == beating {
+			break
+		}
+	}
+	return members, packer.PackBeats(beats)
+}
+
+// hearBeats notes the signs of life of members that are known in full.
+func (g *Gossiper) hearBeats(packed []byte, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	byBoot := make(map[uint32]*member, len(g.members))
+	for _, known := range g.members {
+		byBoot[packer.BootOf(known.Name, known.Boot)] = known
+	}
+	for _, beat := range packer.UnpackBeats(packed) {
+		known := byBoot[beat.Boot]
+		if known == nil || uint64(beat.Count) <= known.Beat {
+			continue
+		}
+		next := *known
+		next.Beat, next.Leaving, next.heard = uint64(beat.Count), beat.Leaving, now
+		g.members[known.Name] = &next
+	}
+}
+
 // merge takes in what another instance told, and passes on what was news.
 func (g *Gossiper) merge(ctx context.Context, digest messenger.Digest) {
 	now := g.now()
@@ -41,6 +74,7 @@
 	for _, member := range digest.Members {
 		g.meet(member, now)
 	}
+	g.hearBeats(digest.Beats, now)
 	news := g.follow.MergeStops(digest.Stops)
 	news = g.ward.Merge(digest.Cases, now) || news
 	if index := g.board.Index.Load(); index == nil || digest.From.Number > index.Number {
@@ -52,7 +86,8 @@
 	}
 }
 
-// meet notes a sign of life: a later start, or a higher beat.
+// meet notes a sign of life: a later start, or a higher beat. An equal beat is
+// no new sign, but may tell of a newer configuration.
 func (g *Gossiper) meet(other messenger.Member, now time.Time) {
 	if other.Name == g.self.Name {
 		return
@@ -60,13 +95,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.members[other.Name]
-	newer := known == nil || other.Boot.After(known.Boot) || other.Boot.Equal(known.Boot) && other.Beat > known.Beat
+	newer := known == nil || other.Boot.After(known.Boot) || other.Boot.Equal(known.Boot) && other.Beat >= known.Beat
 	if !newer {
 		return
 	}
 	if known == nil || other.Boot.After(known.Boot) {
 		g.log.Info("instance met", zap.String("name", other.Name), zap.Time("boot", other.Boot))
 	}
+	if known != nil && other.Boot.Equal(known.Boot) {
+		other.Number = max(other.Number, known.Number)
+		if other.Beat == known.Beat {
+			now = known.heard
+		}
+	}
 	g.members[other.Name] = &member{Member: other, heard: now}
 }
 
@@ -100,7 +141,8 @@
 			loads = append(loads, packer.Load{Index: uint16(i), At: view.At, Report: view.Report})
 		}
 	}
-	return loads
+	rand.Shuffle(len(loads), func(i, j int) { loads[i], loads[j] = loads[j], loads[i] })
+	return loads[:min(len(loads), loaded)]
 }
 
 func (g *Gossiper) takeLoads(digest messenger.Digest, now time.Time) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -30,11 +30,15 @@
 	deadAfter = 12 * time.Second
 	// forgetAfter is the time after which it is not even asked any more.
 	forgetAfter = 10 * time.Minute
-	fanout      = 4 // instances told at once of news
+	// smallFleet is the number of instances up to which ticks are frequent.
+	smallFleet = 16
+	fanout     = 4 // instances told at once of news
 	// alarmMost and alarmTimeout bound an alarm.
 	alarmMost    = 16
 	alarmTimeout = 150 * time.Millisecond
-	sampled      = 16 // members named in one digest
+	sampled      = 3  // members described in one digest
+	beating      = 64 // members whose signs of life are in one digest
+	loaded       = 24 // loads in one digest
 	loadAge      = 3 * time.Second
 )
 
@@ -86,7 +90,7 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	g.exchangeAll(ctx, g.first())
 	for ctx.Err() == nil {
-		timer := time.NewTimer(tickEvery/2 + rand.N(tickEvery))
+		timer := time.NewTimer(g.pause())
 		select {
 		case <-timer.C:
 			g.tick(ctx)
@@ -98,6 +102,16 @@
 	}
 }
 
+// pause returns the time to the next tick. A large fleet ticks less often:
+// news does not wait for ticks, which only make up for what was lost.
+func (g *Gossiper) pause() time.Duration {
+	every := tickEvery
+	if len(g.board.Members.Load()) > smallFleet {
+		every *= 2
+	}
+	return every/2 + rand.N(every)
+}
+
 // News makes the gossiper tell others at once of what has changed.
 func (g *Gossiper) News() {
 	select {
@@ -148,8 +162,14 @@
 	}
 	g.mu.Unlock()
 	g.board.Members.Store(g.Members())
-	targets := g.pick(1, g.self.DataCentre)
-	targets = append(targets, g.pick(1, "")...)
+	site := ""
+	if rand.IntN(2) == 0 {
+		site = g.self.DataCentre
+	}
+	targets := g.pick(1, site)
+	if len(targets) == 0 {
+		targets = g.pick(1, "")
+	}
 	if len(targets) == 0 {
 		targets = g.first()
 	} else if rand.IntN(8) == 0 {
--- a/gossiper/rpc.go
+++ b/gossiper/rpc.go
@@ -11,6 +11,7 @@
 
 	"wisteriadrum/claimer"
 	"wisteriadrum/messenger"
+	"wisteriadrum/meter"
 	"wisteriadrum/tabler"
 )
 
@@ -54,7 +55,7 @@
 			time.Sleep(serveTimeout / 100)
 			continue
 		}
-		go server.ServeConn(conn)
+		go server.ServeConn(meter.New(conn, g.count, "peers"))
 	}
 }
 
@@ -153,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fresh := &client{Client: rpc.NewClient(conn)}
+	fresh := &client{Client: rpc.NewClient(meter.New(conn, g.count, "peers"))}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if known := g.clients[address]; known != nil {
--- a/messenger/digest.go
+++ b/messenger/digest.go
@@ -24,8 +24,11 @@
 
 // Digest is one half of an exchange between two instances.
 type Digest struct {
-	From    Member
+	From Member
+	// Members describes a few other instances in full.
 	Members []Member
+	// Beats are signs of life of many others, in the form of package packer.
+	Beats []byte
 	// Set is the digest of the configuration From.Number.
 	Set string
 	// StopsHash and Stops carry the planned stops. Stops is empty when the
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -97,6 +97,7 @@
 		t.count.Add("events", "failures")
 		return
 	}
+	t.count.Add("events", "pages")
 	t.budget.ReserveN(t.now(), min(len(page.Events)*eventBytes, t.budget.Burst()))
 	t.holders.Heard(len(page.Events), t.missing(at, page))
 	t.places[name] = place{incarnation: page.Incarnation, last: page.Last()}
