--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -123,3 +124,33 @@
 	b.ReportMetric(float64(taken.ValueAtQuantile(99))/1000, "p99ms")
 	b.ReportMetric(float64(taken.TotalCount())/float64(table.transactions.Load()), "claims/transaction")
 }
+
+// forgetful commits the first transactions and loses their answers.
+type forgetful struct {
+	*paced
+	lose atomic.Int64
+}
+
+func (f *forgetful) Apply(ctx context.Context, writes []tabler.Write) ([]tabler.Row, error) {
+	conflicts, err := f.paced.Apply(ctx, writes)
+	if f.lose.Add(-1) >= 0 {
+		return nil, errors.New("answer lost")
+	}
+	return conflicts, err
+}
+
+// A write whose answer was lost is recognised as made when it is tried again.
+func TestLostAnswersAreRecognised(t *testing.T) {
+	table := &forgetful{paced: &paced{Platform: storekeeper.New(time.Now)}}
+	table.lose.Store(2)
+	b := batcher.New(table, counter.New(metrics.NewRegistry()))
+	var all sync.WaitGroup
+	for i := range 10 {
+		all.Go(func() {
+			row, won, err := b.Apply(t.Context(), tabler.Write{Key: fmt.Sprint(i), Value: []byte("mine")})
+			assert.Check(t, err == nil && won)
+			assert.Check(t, row.Version == 1)
+		})
+	}
+	all.Wait()
+}
