Smaller files, one way to wait, and the frozen holder's test

Ruled out: splitting every package that has several exported types; those of one protocol are read together (docs/DESIGN.md names them).

--- /dev/null
+++ b/attempter/attempter_test.go
@@ -0,0 +1,85 @@
+package attempter_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/answerer"
+	"wisteriadrum/attempter"
+	"wisteriadrum/balancer"
+	"wisteriadrum/batcher"
+	"wisteriadrum/budgeter"
+	"wisteriadrum/caller"
+	"wisteriadrum/cataloguer"
+	"wisteriadrum/claimer"
+	"wisteriadrum/counter"
+	"wisteriadrum/dialer"
+	"wisteriadrum/follower"
+	"wisteriadrum/identifier"
+	"wisteriadrum/judge"
+	"wisteriadrum/keeper"
+	"wisteriadrum/mapper"
+	"wisteriadrum/picker"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/storekeeper"
+	"wisteriadrum/tabler"
+)
+
+type table struct{ *storekeeper.Platform }
+
+func (t table) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
+	return t.Read(keys...), nil
+}
+
+func (t table) Apply(_ context.Context, writes []tabler.Write) ([]tabler.Row, error) {
+	return t.Transact(writes), nil
+}
+
+// endpoint counts the calls that reach it.
+type endpoint struct {
+	dialer.Dialer
+	calls int
+}
+
+func (e *endpoint) Open(caller.Call) (*answerer.Answer, error) {
+	e.calls++
+	return nil, context.Canceled
+}
+
+const set = `{
+	"data_centres": [{"name": "a"}],
+	"pools": [{"name": "office", "kind": "service"}],
+	"endpoints": [{"name": "s", "pool": "office", "data_centre": "a", "address": "127.0.0.1:1"}],
+	"workspaces": [{"name": "w", "key": "d5ead6fdd3d16630aad4f07f5e49486337a42e58fb4eef0deaabb814c003b134"}],
+	"routes": [{"name": "booking", "pool": "office", "prefix": "/book", "once": true}],
+}`
+
+// A holder that was frozen between its choice and its send, past the time in
+// which a claim may be used, sends nothing and says so.
+func TestLateClaimIsNotSent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	late := func() time.Time { return now.Add(time.Minute) }
+	count := counter.New(metrics.NewRegistry())
+	board := keeper.New()
+	parsed, err := cataloguer.New([]byte(set))
+	assert.NilError(t, err)
+	source := parsed.Encode()
+	assert.NilError(t, follower.New(board, "a", nil, nil, nil, count, zap.NewNop()).Adopt(1, cataloguer.Digest(source), source))
+
+	shared := table{storekeeper.New(time.Now)}
+	reached := &endpoint{}
+	holders := mapper.New(1<<16, now)
+	pick := picker.New(board, balancer.New(), balancer.New(), reached, holders, quarantiner.New(), count, func() time.Time { return now }, func() {})
+	claims := claimer.New("me", "", batcher.New(shared, count), shared, nil, nil, count, func() time.Time { return now })
+	attempts := attempter.New(reached, pick, claims, budgeter.New(), count, late)
+	request, err := identifier.New(identifier.Input{ID: "r", Method: "POST", Path: "/book", Authorization: "Bearer key-0", Key: "k", Body: []byte("slot"), At: now}, board.Index.Load())
+	assert.NilError(t, err)
+	_, err = attempts.Run(t.Context(), request)
+	assert.Equal(t, judge.Of(err), judge.NotRun, "%v", err)
+	assert.Equal(t, reached.calls, 0)
+}
--- a/claimer/standing.go
+++ b/attester/standing.go
@@ -1,4 +1,5 @@
-package claimer
+// Package attester describes what the owner of a claim says of it.
+package attester
 
 import "wisteriadrum/recorder"
 
--- a/booker/service.go
+++ b/booker/service.go
@@ -11,10 +11,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wisteriadrum/muter"
-
 	"wisteriadrum/dialer"
 	"wisteriadrum/judge"
+	"wisteriadrum/muter"
 	"wisteriadrum/severer"
 )
 
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -4,21 +4,20 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"wisteriadrum/attester"
 	"wisteriadrum/counter"
-	"wisteriadrum/fetcher"
 	"wisteriadrum/judge"
+	"wisteriadrum/pacer"
 	"wisteriadrum/recorder"
 	"wisteriadrum/refuser"
 	"wisteriadrum/storer"
 	"wisteriadrum/tabler"
-
-	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -40,7 +39,7 @@
 
 // Asker asks the owner of a claim, at its peer address, how the claim stands.
 type Asker interface {
-	Claim(ctx context.Context, peer, token string) (Standing, error)
+	Claim(ctx context.Context, peer, token string) (attester.Standing, error)
 }
 
 // Claimer claims once-only requests for one instance.
@@ -64,7 +63,7 @@
 	key      string
 	row      tabler.Row
 	record   recorder.Record
-	standing Standing
+	standing attester.Standing
 	changed  chan struct{}
 }
 
@@ -121,15 +120,15 @@
 
 // Standing returns how the claim with token stands, and whether it is known.
 // A claim that was given up is made void first, so that it can be made again.
-func (c *Claimer) Standing(ctx context.Context, token string) Standing {
+func (c *Claimer) Standing(ctx context.Context, token string) attester.Standing {
 	c.mu.Lock()
 	known := c.claims[token]
 	c.mu.Unlock()
 	if known == nil {
-		return Standing{Phase: Unknown}
+		return attester.Standing{Phase: attester.Unknown}
 	}
 	standing := c.standing(known)
-	if standing.Phase == Abandoned {
+	if standing.Phase == attester.Abandoned {
 		c.void(ctx, known)
 	}
 	return standing
@@ -149,7 +148,7 @@
 	row, won, err := c.writer.Apply(ctx, mine.Write(key, version))
 	if err != nil {
 		c.count.Add("once", "unclaimed")
-		c.settle(known, Standing{Phase: Abandoned})
+		c.settle(known, attester.Standing{Phase: attester.Abandoned})
 		return row, false, refuser.New(refuser.ClaimFailed, judge.NotRun, "the request could not be claimed: %s", eris.Cause(err))
 	}
 	if !won {
@@ -159,7 +158,7 @@
 }
 
 func newClaim(key string, mine recorder.Record) *claim {
-	return &claim{key: key, record: mine, row: tabler.Row{Key: key}, standing: Standing{Phase: Running}, changed: make(chan struct{})}
+	return &claim{key: key, record: mine, row: tabler.Row{Key: key}, standing: attester.Standing{Phase: attester.Running}, changed: make(chan struct{})}
 }
 
 func (c *Claimer) run(row tabler.Row, mine recorder.Record, work Work) (recorder.Answer, error) {
@@ -175,14 +174,14 @@
 	answer, err := work(c.now().Add(sendLease))
 	switch {
 	case err == nil:
-		c.settle(known, Standing{Phase: Finished, Answer: answer})
+		c.settle(known, attester.Standing{Phase: attester.Finished, Answer: answer})
 		c.saves.Go(func() { c.save(known, answer) })
 	case judge.Of(err) == judge.NotRun:
-		c.settle(known, Standing{Phase: Abandoned})
+		c.settle(known, attester.Standing{Phase: attester.Abandoned})
 		c.saves.Go(func() { c.retryVoid(known) })
 	default:
 		c.count.Add("once", "doubtful")
-		c.settle(known, Standing{Phase: Doubtful})
+		c.settle(known, attester.Standing{Phase: attester.Doubtful})
 	}
 	return answer, err
 }
@@ -193,17 +192,17 @@
 	reachedBy := c.now().Add(ownerWait)
 	for {
 		standing := c.ask(ctx, other)
-		if standing.Phase != Unreached {
+		if standing.Phase != attester.Unreached {
 			reachedBy = c.now().Add(ownerWait)
 		}
 		switch standing.Phase {
-		case Finished:
+		case attester.Finished:
 			return row, other.WithAnswer(standing.Answer), nil
-		case Doubtful:
+		case attester.Doubtful:
 			return row, other, inDoubt()
-		case Unknown, Unreached, Running, Abandoned:
+		case attester.Unknown, attester.Unreached, attester.Running, attester.Abandoned:
 		}
-		if err := pause(ctx, rereadWait); err != nil || c.now().After(reachedBy) {
+		if !pacer.Wait(ctx, rereadWait) || c.now().After(reachedBy) {
 			return row, other, inDoubt()
 		}
 		rows, err := c.table.Get(ctx, row.Key)
@@ -220,7 +219,7 @@
 		if latest.State != recorder.Open {
 			return rows[0], latest, nil
 		}
-		if standing.Phase == Unknown && latest.Token == other.Token {
+		if standing.Phase == attester.Unknown && latest.Token == other.Token {
 			// The owner has restarted since, and may have sent before.
 			return row, other, inDoubt()
 		}
@@ -228,95 +227,19 @@
 	}
 }
 
-func (c *Claimer) ask(ctx context.Context, other recorder.Record) Standing {
+func (c *Claimer) ask(ctx context.Context, other recorder.Record) attester.Standing {
 	if other.Owner == c.owner {
 		return c.Standing(ctx, other.Token)
 	}
 	standing, err := c.asker.Claim(ctx, other.Peer, other.Token)
 	if err != nil {
 		c.count.Add("once", "unreached")
-		return Standing{Phase: Unreached}
+		return attester.Standing{Phase: attester.Unreached}
 	}
 	return standing
 }
 
-// save keeps the answer in the row, or in the object store if it is large.
-func (c *Claimer) save(known *claim, answer recorder.Answer) {
-	ctx, cancel := context.WithTimeout(context.Background(), saveWindow)
-	defer cancel()
-	if len(answer.Body) > maxInline {
-		sum := sha256.Sum256(answer.Body)
-		name := hex.EncodeToString(sum[:])
-		for c.store.Put(ctx, name, answer.Body) != nil {
-			if pause(ctx, rereadWait) != nil {
-				c.count.Add("once", "unsaved")
-				return
-			}
-		}
-		answer.Object, answer.Body = name, nil
-	}
-	record := known.record.WithAnswer(answer)
-	if _, _, err := c.writer.Apply(ctx, record.Write(known.key, known.row.Version)); err != nil {
-		c.count.Add("once", "unsaved")
-		return
-	}
-	c.forget(known)
-}
-
-// forget drops a claim that nobody needs to ask about any more.
-func (c *Claimer) forget(known *claim) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.claims[known.record.Token] == known {
-		delete(c.claims, known.record.Token)
-	}
-}
-
-// Flush waits until every answer is kept or ctx ends.
-func (c *Claimer) Flush(ctx context.Context) {
-	saved := make(chan struct{})
-	go func() {
-		c.saves.Wait()
-		close(saved)
-	}()
-	select {
-	case <-saved:
-	case <-ctx.Done():
-	}
-}
-
-func (c *Claimer) retryVoid(known *claim) {
-	ctx, cancel := context.WithTimeout(context.Background(), saveWindow)
-	defer cancel()
-	c.void(ctx, known)
-}
-
-// void records that the claim was given up before anything was sent.
-func (c *Claimer) void(ctx context.Context, known *claim) {
-	record := known.record.WithState(recorder.Void)
-	if _, won, err := c.writer.Apply(ctx, record.Write(known.key, known.row.Version)); err == nil && won {
-		c.count.Add("once", "voided")
-	}
-}
-
-func (c *Claimer) load(ctx context.Context, record recorder.Record) (recorder.Answer, error) {
-	answer := *record.Answer
-	if answer.Object == "" {
-		return answer, nil
-	}
-	body, err := c.store.Get(ctx, answer.Object)
-	if err != nil {
-		code := refuser.AnswerLost
-		if !eris.Is(err, fetcher.ErrNotFound) {
-			code = refuser.ClaimFailed
-		}
-		return recorder.Answer{}, refuser.New(code, judge.Ran, "the request ran before; its answer cannot be read: %s", eris.Cause(err))
-	}
-	answer.Body, answer.Object = body, ""
-	return answer, nil
-}
-
-func (c *Claimer) settle(known *claim, standing Standing) {
+func (c *Claimer) settle(known *claim, standing attester.Standing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known.standing = standing
@@ -324,11 +247,11 @@
 }
 
 // standing waits a while for a running claim to change.
-func (c *Claimer) standing(known *claim) Standing {
+func (c *Claimer) standing(known *claim) attester.Standing {
 	c.mu.Lock()
 	standing := known.standing
 	c.mu.Unlock()
-	if standing.Phase != Running {
+	if standing.Phase != attester.Running {
 		return standing
 	}
 	timer := time.NewTimer(rereadWait)
@@ -359,14 +282,3 @@
 func inDoubt() error {
 	return refuser.New(refuser.InDoubt, judge.MayHaveRun, "an earlier request with this key may have run")
 }
-
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/claimer/schedule_test.go
+++ b/claimer/schedule_test.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
+	"wisteriadrum/attester"
 	"wisteriadrum/batcher"
 	"wisteriadrum/claimer"
 	"wisteriadrum/counter"
@@ -108,7 +109,7 @@
 	cut     bool // instances cannot ask one another
 }
 
-func (f *fleet) Claim(ctx context.Context, peer, token string) (claimer.Standing, error) {
+func (f *fleet) Claim(ctx context.Context, peer, token string) (attester.Standing, error) {
 	f.mu.Lock()
 	var node *claimer.Claimer
 	for i, other := range f.nodes {
@@ -119,7 +120,7 @@
 	cut := f.cut
 	f.mu.Unlock()
 	if cut || node == nil {
-		return claimer.Standing{}, errors.New("unreachable")
+		return attester.Standing{}, errors.New("unreachable")
 	}
 	return node.Standing(ctx, token), nil
 }
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -1,7 +1,6 @@
 package dialer
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -227,67 +226,6 @@
 
 func (r reader) Read(buffer []byte) (int, error) { return r(buffer) }
 
-// countingWriter counts the bytes that the connection accepted.
-type countingWriter struct {
-	net.Conn
-	count int
-}
-
-func (w *countingWriter) Write(data []byte) (int, error) {
-	n, err := w.Conn.Write(data)
-	w.count += n
-	return n, err
-}
-
-func send(conn *pooler.Conn, call caller.Call) error {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	fill(request, call)
-	if err := conn.SetWriteDeadline(call.FirstBy); err != nil {
-		return refuser.New(refuser.UpstreamLost, judge.NotRun, "%s: %s", call.Address, err)
-	}
-	counted := &countingWriter{Conn: conn.Conn}
-	writer := bufio.NewWriter(counted)
-	err := request.Write(writer)
-	if err == nil {
-		err = writer.Flush()
-	}
-	if err == nil {
-		return nil
-	}
-	if counted.count == 0 {
-		return refuser.New(refuser.UpstreamLost, judge.NotRun, "write to %s: %s", call.Address, err)
-	}
-	return lost(call, err)
-}
-
-func fill(request *fasthttp.Request, call caller.Call) {
-	head := &request.Header
-	head.SetMethod(call.Method)
-	request.SetRequestURI("http://" + call.Address + call.Path)
-	request.SetBody(call.Body)
-	if call.ContentType != "" {
-		head.SetContentType(call.ContentType)
-	}
-	set := func(name, value string) {
-		if value != "" {
-			head.Set(name, value)
-		}
-	}
-	set(HeaderAttempt, call.Attempt)
-	set(HeaderSalt, call.Salt)
-	set(HeaderWeights, call.Weights)
-	if call.Priority != 0 {
-		set(HeaderPriority, strconv.Itoa(call.Priority))
-	}
-	if call.Attach {
-		set(HeaderLastEvent, strconv.Itoa(call.Resume))
-	}
-	if !call.SendBy.IsZero() {
-		set(HeaderSendBy, call.SendBy.UTC().Format(time.RFC3339Nano))
-	}
-}
-
 func lost(call caller.Call, err error) error {
 	code := refuser.UpstreamLost
 	var timeout net.Error
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +18,7 @@
 	"wisteriadrum/indexer"
 	"wisteriadrum/keeper"
 	"wisteriadrum/lister"
+	"wisteriadrum/pacer"
 	"wisteriadrum/stopper"
 	"wisteriadrum/storer"
 	"wisteriadrum/tabler"
@@ -80,15 +80,7 @@
 
 // Run polls the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		f.Poll(ctx)
-		wait := time.NewTimer(pollEvery/2 + rand.N(pollEvery))
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
-		}
-	}
+	pacer.Repeat(ctx, pollEvery, f.Poll)
 }
 
 // Adopt puts a configuration in force if its number is higher than the one in
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -11,7 +11,7 @@
 
 	"go.uber.org/zap"
 
-	"wisteriadrum/claimer"
+	"wisteriadrum/attester"
 	"wisteriadrum/counter"
 	"wisteriadrum/follower"
 	"wisteriadrum/keeper"
@@ -45,7 +45,7 @@
 // Local is what an instance does for the others.
 type Local interface {
 	// Standing says how a claim of this instance stands.
-	Standing(ctx context.Context, token string) claimer.Standing
+	Standing(ctx context.Context, token string) attester.Standing
 	// Apply commits a write in a batch of this instance.
 	Apply(ctx context.Context, write tabler.Write) (tabler.Row, bool, error)
 }
--- a/gossiper/rpc.go
+++ b/gossiper/rpc.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"wisteriadrum/claimer"
+	"wisteriadrum/attester"
 	"wisteriadrum/messenger"
 	"wisteriadrum/meter"
 	"wisteriadrum/tabler"
@@ -84,7 +84,7 @@
 }
 
 // Claim says how a claim of this instance stands.
-func (s *service) Claim(token string, reply *claimer.Standing) error {
+func (s *service) Claim(token string, reply *attester.Standing) error {
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	*reply = s.local.Standing(ctx, token)
@@ -101,8 +101,8 @@
 }
 
 // Claim asks the instance at address how its claim with token stands.
-func (g *Gossiper) Claim(ctx context.Context, address, token string) (claimer.Standing, error) {
-	var standing claimer.Standing
+func (g *Gossiper) Claim(ctx context.Context, address, token string) (attester.Standing, error) {
+	var standing attester.Standing
 	err := g.call(ctx, address, "Peer.Claim", token, &standing)
 	return standing, err
 }
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -15,11 +15,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"wisteriadrum/muter"
-
 	"wisteriadrum/cacher"
 	"wisteriadrum/commander"
 	"wisteriadrum/hasher"
+	"wisteriadrum/muter"
 	"wisteriadrum/pager"
 	"wisteriadrum/prompter"
 	"wisteriadrum/reporter"
--- a/instance.go
+++ b/instance.go
@@ -35,6 +35,7 @@
 	"wisteriadrum/messenger"
 	"wisteriadrum/operator"
 	"wisteriadrum/orderer"
+	"wisteriadrum/pacer"
 	"wisteriadrum/picker"
 	"wisteriadrum/prober"
 	"wisteriadrum/publisher"
@@ -159,7 +160,7 @@
 	i.gossip.News()
 	limit, cancel := context.WithTimeout(hurry, drainLimit)
 	defer cancel()
-	wait(limit, readyPause)
+	pacer.Wait(limit, readyPause)
 	err := i.server.Shutdown(limit)
 	if limit.Err() != nil {
 		return i.abort()
@@ -177,16 +178,16 @@
 	i.server.Abort()
 	limit, cancel := context.WithTimeout(context.Background(), abortLimit)
 	defer cancel()
-	for i.limits.Flight() > 0 && wait(limit, abortLimit/100) {
+	for i.limits.Flight() > 0 && pacer.Wait(limit, abortLimit/100) {
 		continue
 	}
-	wait(limit, abortLimit/10) // for the answers to be written
+	pacer.Wait(limit, abortLimit/10) // for the answers to be written
 	return nil
 }
 
 // share divides the limits among the live instances of the data centre.
 func (i *Instance) share(ctx context.Context) {
-	for wait(ctx, shareEvery) {
+	for pacer.Wait(ctx, shareEvery) {
 		near := 0
 		for _, member := range i.board.Members.Load() {
 			if member.DataCentre == i.settings.DataCentre && !member.Leaving {
@@ -199,7 +200,7 @@
 
 // keepStops writes planned stops to the platform that it does not hold yet.
 func (i *Instance) keepStops(ctx context.Context) {
-	for wait(ctx, keepEvery) {
+	for pacer.Wait(ctx, keepEvery) {
 		stops := i.board.Stops.Load()
 		if stops.Hash() == i.board.StopsKept.Load() {
 			continue
@@ -275,18 +276,6 @@
 	}, nil
 }
 
-// wait pauses and reports whether ctx has not ended.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Load reads the settings in the file named name.
 func Load(name string) (*configurer.Settings, error) {
 	source, err := os.ReadFile(name)
--- a/node.go
+++ b/node.go
@@ -9,9 +9,10 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"wisteriadrum/claimer"
+	"wisteriadrum/attester"
 	"wisteriadrum/follower"
 	"wisteriadrum/operator"
+	"wisteriadrum/pacer"
 	"wisteriadrum/stopper"
 	"wisteriadrum/tabler"
 )
@@ -73,7 +74,7 @@
 				inForce++
 			}
 		}
-		if inForce == len(members) || !wait(ctx, forceWait/30) {
+		if inForce == len(members) || !pacer.Wait(ctx, forceWait/30) {
 			return inForce, len(members)
 		}
 	}
@@ -98,7 +99,7 @@
 }
 
 // Standing says how a claim of this instance stands.
-func (i *Instance) Standing(ctx context.Context, token string) claimer.Standing {
+func (i *Instance) Standing(ctx context.Context, token string) attester.Standing {
 	return i.claims.Standing(ctx, token)
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -17,11 +17,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
-	"wisteriadrum/muter"
-
 	"wisteriadrum/decoder"
 	"wisteriadrum/follower"
 	"wisteriadrum/messenger"
+	"wisteriadrum/muter"
 	"wisteriadrum/publisher"
 	"wisteriadrum/reporter"
 )
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +15,7 @@
 	"wisteriadrum/grouper"
 	"wisteriadrum/keeper"
 	"wisteriadrum/leaser"
+	"wisteriadrum/pacer"
 	"wisteriadrum/ranker"
 	"wisteriadrum/tracker"
 )
@@ -52,15 +52,7 @@
 
 // Run gives orders until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		o.round(ctx)
-		timer := time.NewTimer(roundEvery/2 + rand.N(roundEvery))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
-	}
+	pacer.Repeat(ctx, roundEvery, o.round)
 }
 
 func (o *Orderer) round(ctx context.Context) {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -15,6 +14,7 @@
 	"wisteriadrum/grouper"
 	"wisteriadrum/keeper"
 	"wisteriadrum/messenger"
+	"wisteriadrum/pacer"
 	"wisteriadrum/ranker"
 	"wisteriadrum/tracker"
 )
@@ -46,15 +46,7 @@
 // Run probes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
 	defer p.pool.Stop()
-	for ctx.Err() == nil {
-		p.round(ctx)
-		timer := time.NewTimer(probeEvery/2 + rand.N(probeEvery))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
-	}
+	pacer.Repeat(ctx, probeEvery, p.round)
 }
 
 func (p *Prober) round(ctx context.Context) {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -12,6 +12,7 @@
 
 	"wisteriadrum/cataloguer"
 	"wisteriadrum/follower"
+	"wisteriadrum/pacer"
 	"wisteriadrum/stopper"
 	"wisteriadrum/storer"
 	"wisteriadrum/tabler"
@@ -82,7 +83,7 @@
 			return p.lost(conflicts[0], head)
 		}
 		failure = err
-		if !sleep(ctx, tryPause) {
+		if !pacer.Wait(ctx, tryPause) {
 			break
 		}
 	}
@@ -114,7 +115,7 @@
 		if err != nil {
 			failure = err
 		}
-		if !sleep(ctx, tryPause) {
+		if !pacer.Wait(ctx, tryPause) {
 			break
 		}
 	}
@@ -155,14 +156,3 @@
 	}
 	return encoded
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/storekeeper/platform.go
+++ b/storekeeper/platform.go
@@ -11,9 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wisteriadrum/muter"
-
 	"wisteriadrum/lister"
+	"wisteriadrum/muter"
 	"wisteriadrum/severer"
 	"wisteriadrum/tabler"
 )
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -14,6 +14,7 @@
 	"wisteriadrum/grouper"
 	"wisteriadrum/keeper"
 	"wisteriadrum/mapper"
+	"wisteriadrum/pacer"
 	"wisteriadrum/pager"
 	"wisteriadrum/tracker"
 )
@@ -52,15 +53,7 @@
 
 // Run reads events until ctx ends.
 func (t *Tailer) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		t.round(ctx)
-		timer := time.NewTimer(roundEvery)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
-	}
+	pacer.Repeat(ctx, roundEvery, t.round)
 }
 
 // round visits the engines in random order until the budget is spent.
