Ask the home instance of a prefix in large regions

Change: from 17 live instances in a region on, the first instance in rendezvous order for a prefix's first eight pieces chooses, counts the work as under way, and is told the outcome. Whatever goes wrong there, the instance chooses alone after 40 ms. A short wait for another instance no longer gives up the connection that other calls are using.

--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -14,6 +14,7 @@
 	defaultBody   = 4 << 20 // bytes
 	defaultHeader = 16 << 10
 	defaultFlight = 2000
+	defaultHomes  = 17       // instances
 	defaultMap    = 32 << 20 // bytes
 	defaultEvents = 16 << 10 // bytes a second
 )
@@ -47,6 +48,9 @@
 	Map int `json:"map,omitempty"`
 	// Events is the budget for reading cache events, in bytes a second.
 	Events int `json:"events,omitempty"`
+	// Homes is the number of live instances in the region from which on the
+	// home instance of a prefix is asked for choices.
+	Homes int `json:"homes,omitempty"`
 }
 
 // New reads settings from JSON with comments. The error lists every fault.
@@ -65,6 +69,7 @@
 	next.Header = orDefault(s.Header, defaultHeader)
 	next.Flight = orDefault(s.Flight, defaultFlight)
 	next.Map = orDefault(s.Map, defaultMap)
+	next.Homes = orDefault(s.Homes, defaultHomes)
 	next.Events = orDefault(s.Events, defaultEvents)
 	return &next
 }
@@ -111,8 +116,8 @@
 	if s.PeerTLS.Set() && s.PeerTLS.Authority == "" {
 		report("peer_tls", "needs an authority, by which instances know one another")
 	}
-	if s.Body < 0 || s.Header < 0 || s.Flight < 0 || s.Map < 0 || s.Events < 0 {
-		report("body", "body, header, flight, map and events must not be negative")
+	if s.Body < 0 || s.Header < 0 || s.Flight < 0 || s.Map < 0 || s.Events < 0 || s.Homes < 0 {
+		report("body", "body, header, flight, map, events and homes must not be negative")
 	}
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -48,6 +48,10 @@
 	Standing(ctx context.Context, token string) attester.Standing
 	// Apply commits a write in a batch of this instance.
 	Apply(ctx context.Context, write tabler.Write) (tabler.Row, bool, error)
+	// Decide chooses as the home of a prefix.
+	Decide(question messenger.Question) (messenger.Advice, error)
+	// Hear takes in what came of a choice.
+	Hear(outcome messenger.Outcome)
 }
 
 // Gossiper exchanges digests with other instances.
@@ -134,9 +138,9 @@
 	return alive
 }
 
-// Tell exchanges digests with every live instance and returns when each has
+// TellAll exchanges digests with every live instance and returns when each has
 // answered or failed to.
-func (g *Gossiper) Tell(ctx context.Context) {
+func (g *Gossiper) TellAll(ctx context.Context) {
 	g.exchangeAll(ctx, g.pick(len(g.Members()), ""))
 }
 
--- a/gossiper/rpc.go
+++ b/gossiper/rpc.go
@@ -100,6 +100,31 @@
 	return err
 }
 
+// Advise chooses as the home of a prefix.
+func (s *service) Advise(question messenger.Question, reply *messenger.Advice) error {
+	advice, err := s.local.Decide(question)
+	*reply = advice
+	return err
+}
+
+// Tell takes in what came of a choice.
+func (s *service) Tell(outcome messenger.Outcome, _ *struct{}) error {
+	s.local.Hear(outcome)
+	return nil
+}
+
+// Advise asks the instance at address for a choice.
+func (g *Gossiper) Advise(ctx context.Context, address string, question messenger.Question) (messenger.Advice, error) {
+	var advice messenger.Advice
+	err := g.call(ctx, address, "Peer.Advise", question, &advice)
+	return advice, err
+}
+
+// Tell tells the instance at address what came of its advice.
+func (g *Gossiper) Tell(ctx context.Context, address string, outcome messenger.Outcome) error {
+	return g.call(ctx, address, "Peer.Tell", outcome, &struct{}{})
+}
+
 // Claim asks the instance at address how its claim with token stands.
 func (g *Gossiper) Claim(ctx context.Context, address, token string) (attester.Standing, error) {
 	var standing attester.Standing
@@ -119,11 +144,12 @@
 	*rpc.Client
 }
 
-// call calls another instance over a kept connection, which is given up
-// after an error or a time-out.
+// call calls another instance over a kept connection, which is given up after
+// an error or a silence of callTimeout. A caller that waits for less leaves the
+// connection to others.
 func (g *Gossiper) call(ctx context.Context, address, method string, argument, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	silence := time.NewTimer(callTimeout)
+	defer silence.Stop()
 	known, err := g.client(address)
 	if err != nil {
 		return err
@@ -137,8 +163,10 @@
 			g.drop(address, known)
 		}
 		return call.Error
-	case <-ctx.Done():
+	case <-silence.C:
 		g.drop(address, known)
+		return context.DeadlineExceeded
+	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
--- a/hasher/chain.go
+++ b/hasher/chain.go
@@ -50,6 +50,9 @@
 // Levels returns all hashes, shortest prefix first. They must not be modified.
 func (c Chain) Levels() []uint64 { return c.levels }
 
+// Piece returns the size of a level in bytes.
+func (c Chain) Piece() int { return c.piece }
+
 // Size returns the length of the whole prompt in bytes.
 func (c Chain) Size() int { return c.size }
 
--- a/instance.go
+++ b/instance.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"wisteriadrum/adviser"
+	"wisteriadrum/asker"
 	"wisteriadrum/attempter"
 	"wisteriadrum/balancer"
 	"wisteriadrum/batcher"
@@ -22,6 +24,7 @@
 	"wisteriadrum/configurer"
 	"wisteriadrum/coster"
 	"wisteriadrum/counter"
+	"wisteriadrum/decider"
 	"wisteriadrum/dialer"
 	"wisteriadrum/fetcher"
 	"wisteriadrum/follower"
@@ -75,6 +78,7 @@
 	probe    *prober.Prober
 	tail     *tailer.Tailer
 	orders   *orderer.Orderer
+	decide   *decider.Decider
 	server   *server.Server
 	operator *fasthttp.Server
 }
@@ -114,7 +118,11 @@
 	forward := forwarder.New(self, i.board, i.batch, i.gossip, count)
 	i.claims = claimer.New(owner, settings.Peer, forward, table, store, i.gossip, count, now)
 
-	pick := picker.New(i.board, coster.New(holders, truster.New()), balancer.New(), endpoints, holders, ward, count, now, i.gossip.Alarm)
+	policy := coster.New(holders, truster.New())
+	ask := asker.New(endpoints, holders, count, now)
+	advise := adviser.New(self, i.board, i.gossip, settings.Homes, count)
+	i.decide = decider.New(i.board, policy, ask, holders, now)
+	pick := picker.New(i.board, policy, balancer.New(), ask, advise, holders, ward, count, now, i.gossip.Alarm)
 	budget := budgeter.New()
 	streams := streamer.New(i.board, endpoints, pick, budget, count, now)
 	services := attempter.New(endpoints, pick, i.claims, budget, count, now)
--- a/node.go
+++ b/node.go
@@ -11,6 +11,7 @@
 
 	"wisteriadrum/attester"
 	"wisteriadrum/follower"
+	"wisteriadrum/messenger"
 	"wisteriadrum/operator"
 	"wisteriadrum/pacer"
 	"wisteriadrum/stopper"
@@ -66,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, forceWait)
 	defer cancel()
 	for {
-		i.gossip.Tell(ctx)
+		i.gossip.TellAll(ctx)
 		members := i.gossip.Members()
 		inForce := 0
 		for _, member := range members {
@@ -108,6 +109,14 @@
 	return i.batch.Apply(ctx, write)
 }
 
+// Decide chooses as the home of a prefix.
+func (i *Instance) Decide(question messenger.Question) (messenger.Advice, error) {
+	return i.decide.Decide(question)
+}
+
+// Hear takes in what came of a choice.
+func (i *Instance) Hear(outcome messenger.Outcome) { i.decide.Hear(outcome) }
+
 // Counters returns all counters by name.
 func (i *Instance) Counters() map[string]int64 {
 	values := map[string]int64{}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -5,10 +5,11 @@
 	"math/rand/v2"
 	"time"
 
+	"wisteriadrum/adviser"
 	"wisteriadrum/answerer"
+	"wisteriadrum/asker"
 	"wisteriadrum/chooser"
 	"wisteriadrum/counter"
-	"wisteriadrum/dialer"
 	"wisteriadrum/grouper"
 	"wisteriadrum/identifier"
 	"wisteriadrum/judge"
@@ -24,8 +25,6 @@
 	shunFirst = 500 * time.Millisecond
 	shunMost  = 8 * time.Second
 	noneWait  = time.Second
-	// askTimeout is worth waiting where the prefill takes as long.
-	askTimeout = 20 * time.Millisecond
 )
 
 // Picker picks endpoints for requests and learns from their answers.
@@ -33,7 +32,8 @@
 	board    *keeper.Board
 	engines  chooser.Policy
 	services chooser.Policy
-	dialer   dialer.Dialer
+	asker    *asker.Asker
+	adviser  *adviser.Adviser
 	holders  *mapper.Map
 	ward     *quarantiner.Ward
 	count    *counter.Counter
@@ -43,8 +43,8 @@
 
 // New returns a picker that uses one policy for engines and one for services.
 // It calls alarm when another instance must hear of a crash.
-func New(board *keeper.Board, engines, services chooser.Policy, dial dialer.Dialer, holders *mapper.Map, ward *quarantiner.Ward, count *counter.Counter, now func() time.Time, alarm func()) *Picker {
-	return &Picker{board: board, engines: engines, services: services, dialer: dial, holders: holders, ward: ward, count: count, now: now, alarm: alarm}
+func New(board *keeper.Board, engines, services chooser.Policy, ask *asker.Asker, advise *adviser.Adviser, holders *mapper.Map, ward *quarantiner.Ward, count *counter.Counter, now func() time.Time, alarm func()) *Picker {
+	return &Picker{board: board, engines: engines, services: services, asker: ask, adviser: advise, holders: holders, ward: ward, count: count, now: now, alarm: alarm}
 }
 
 // Pick returns an endpoint for request that is not among tried. The error is
@@ -63,8 +63,12 @@
 		Barred: func(track *tracker.Track) bool { return barred(track, tried, suspect.Losses) },
 	}
 	tracks := fleet.Pool(request.Route.Pool)
-	if !known && len(tried) == 0 {
-		p.ask(query, request, tracks)
+	if !known && len(tried) == 0 && request.Pool.Kind == grouper.Engine {
+		if choice, ok := p.adviser.Advise(query, tracks); ok {
+			p.count.Add("choice", choice.Reason)
+			return choice, nil
+		}
+		p.asker.Ask(p.engines, query, tracks)
 	}
 	choice := p.choose(query, request, tracks, known)
 	if choice.Track == nil {
@@ -78,36 +82,6 @@
 	return choice, nil
 }
 
-// ask gets fresh loads before a costly request, if the policy wants them. An
-// endpoint that does not answer in time is judged by what is known of it.
-func (p *Picker) ask(query chooser.Query, request *identifier.Request, tracks []*tracker.Track) {
-	lister, ok := p.engines.(chooser.Shortlister)
-	if !ok || request.Pool.Kind != grouper.Engine {
-		return
-	}
-	list := lister.Shortlist(query, tracks)
-	heard := make(chan struct{}, len(list))
-	for _, track := range list {
-		p.count.Add("probe", "asked")
-		go func() {
-			if report, err := p.dialer.Load(track.Endpoint.Address); err == nil {
-				track.Report(report, p.now(), p.holders.Slot)
-			}
-			heard <- struct{}{}
-		}()
-	}
-	timer := time.NewTimer(askTimeout)
-	defer timer.Stop()
-	for range list {
-		select {
-		case <-heard:
-		case <-timer.C:
-			p.count.Add("probe", "late")
-			return
-		}
-	}
-}
-
 // Learn lets the policy learn from how many bytes were found cached.
 func (p *Picker) Learn(request *identifier.Request, choice chooser.Choice, cached int) {
 	if choice.Learn != nil && cached >= 0 {
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -40,6 +40,8 @@
 	Weigh      director.Weigh
 	// Wrap, if set, wraps the listeners of engines and services.
 	Wrap func(name string, inner net.Listener) net.Listener
+	// Homes is the setting of that name, 0 for the usual.
+	Homes int
 	// Change, if set, changes the set before it is published.
 	Change func(*cataloguer.Set)
 	Log    *zap.Logger
@@ -129,7 +131,7 @@
 func (s *Stage) Add(dataCentre string) (*Node, error) {
 	settings := &configurer.Settings{
 		Name: fmt.Sprintf("%s-%d", dataCentre, len(s.Instances)+1), DataCentre: dataCentre,
-		Caller: Free(), Operator: Free(), Peer: Free(), Table: s.address, Objects: s.address, List: s.address,
+		Caller: Free(), Operator: Free(), Peer: Free(), Table: s.address, Objects: s.address, List: s.address, Homes: s.options.Homes,
 	}
 	for _, node := range s.Instances {
 		settings.Peers = append(settings.Peers, node.Settings.Peer)
