Pack sets, and let two instances of a data centre read the list

Cause: carried to 330 instances, the platform's list cost each of them 48 KB/s, and sets 1.4 KB/s, against 4 KB/s for all control.

Change: two instances of each data centre read the list and pass on who leaves as planned stops; sets travel and are stored packed; polls every 1.6 s, since an endpoint on the list must be without new work after 3 s.

Ruled out: changed objects only, which needs both sides to hold the same base; packed sets are small enough.

Five instances heed the list within 3 s (TestListReachesAll).

--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -69,7 +69,7 @@
 	parsed, err := cataloguer.New([]byte(set))
 	assert.NilError(t, err)
 	source := parsed.Encode()
-	assert.NilError(t, follower.New(board, "a", nil, nil, nil, count, zap.NewNop()).Adopt(1, cataloguer.Digest(source), source))
+	assert.NilError(t, follower.New(board, "me", "a", nil, nil, nil, count, zap.NewNop()).Adopt(1, cataloguer.Digest(source), source))
 
 	shared := table{storekeeper.New(time.Now)}
 	reached := &endpoint{}
--- /dev/null
+++ b/compressor/gzip_test.go
@@ -0,0 +1,21 @@
+package compressor_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/compressor"
+)
+
+// Whatever arrives is refused or unpacked, and what was packed comes back.
+func FuzzUnpack(f *testing.F) {
+	f.Add([]byte("a set"))
+	f.Add(compressor.Pack([]byte("a set")))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, _ = compressor.Unpack(text) // must not panic
+		back, err := compressor.Unpack(compressor.Pack(text))
+		assert.NilError(t, err)
+		assert.Equal(t, string(back), string(text))
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,16 +9,19 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"wisteriadrum/assembler"
 	"wisteriadrum/cataloguer"
+	"wisteriadrum/compressor"
 	"wisteriadrum/counter"
 	"wisteriadrum/indexer"
 	"wisteriadrum/keeper"
 	"wisteriadrum/lister"
 	"wisteriadrum/pacer"
+	"wisteriadrum/ranker"
 	"wisteriadrum/stopper"
 	"wisteriadrum/storer"
 	"wisteriadrum/tabler"
@@ -30,7 +33,11 @@
 	// StopsKey names the row with the planned stops.
 	StopsKey = "stops"
 
-	pollEvery = 2 * time.Second
+	pollEvery = 1600 * time.Millisecond
+	// readers is the number of instances of a data centre that read the list.
+	readers = 2
+	// listed begins the name of a stop that stands for the list's word.
+	listed = "list:"
 )
 
 // Head is the value of the row that says which configuration is in force.
@@ -64,18 +71,20 @@
 // Follower keeps the configuration sections of a board up to date.
 type Follower struct {
 	board      *keeper.Board
+	name       string
 	dataCentre string
 	table      tabler.Table
 	store      storer.Store
 	list       lister.List
 	count      *counter.Counter
 	log        *zap.Logger
+	news       func()
 	adopting   sync.Mutex
 }
 
-// New returns a follower for an instance in dataCentre.
-func New(board *keeper.Board, dataCentre string, table tabler.Table, store storer.Store, list lister.List, count *counter.Counter, log *zap.Logger) *Follower {
-	return &Follower{board: board, dataCentre: dataCentre, table: table, store: store, list: list, count: count, log: log}
+// New returns a follower for the instance named name in dataCentre.
+func New(board *keeper.Board, name, dataCentre string, table tabler.Table, store storer.Store, list lister.List, count *counter.Counter, log *zap.Logger) *Follower {
+	return &Follower{board: board, name: name, dataCentre: dataCentre, table: table, store: store, list: list, count: count, log: log, news: func() {}}
 }
 
 // Run polls the platform until ctx ends.
@@ -115,12 +124,8 @@
 // keeps new work away from.
 func (f *Follower) ApplyStops() {
 	stops := f.board.Stops.Load()
-	leaving := map[string]bool{}
-	for _, entry := range f.board.Listed.Load() {
-		leaving[entry.Name] = entry.State == lister.Leaving
-	}
 	for name, track := range f.board.Fleet.Load().All() {
-		track.Stop(stops.Active(name) || leaving[name])
+		track.Stop(stops.Active(name) || stops.Active(listed+name))
 	}
 }
 
@@ -170,16 +175,61 @@
 	}
 }
 
+// pollList reads the instance list, if this is one of the instances that read
+// it for their data centre, and passes on who leaves as planned stops.
 func (f *Follower) pollList(ctx context.Context) {
+	if !f.readsList() {
+		return
+	}
 	entries, err := f.list.Entries(ctx)
 	if err != nil {
 		f.count.Add("config", "list-failures")
 		return
 	}
+	before := states(f.board.Listed.Load())
 	f.board.Listed.Store(entries)
-	f.ApplyStops()
+	stops := f.board.Stops.Load()
+	var changes []stopper.Stop
+	for name, state := range states(entries) {
+		leaving := state == lister.Leaving
+		// Another reader may see the list earlier, so only a change seen here
+		// ends a stop.
+		ended := !leaving && before[name] == lister.Leaving
+		if leaving != stops.Active(listed+name) && (leaving || ended) {
+			changes = append(changes, stops.Change(listed+name, leaving, f.name))
+		}
+	}
+	if f.MergeStops(changes) {
+		f.news()
+	}
 }
 
+func states(entries []lister.Entry) map[string]lister.State {
+	byName := make(map[string]lister.State, len(entries))
+	for _, entry := range entries {
+		byName[entry.Name] = entry.State
+	}
+	return byName
+}
+
+// readsList reports whether this instance is among the first of its data
+// centre in rendezvous order, as an instance that knows no others is.
+func (f *Follower) readsList() bool {
+	mine := ranker.Rank(0, xxhash.Sum64String(f.name))
+	better := 0
+	for _, member := range f.board.Members.Load() {
+		near := member.DataCentre == f.dataCentre && member.Name != f.name
+		if near && ranker.Rank(0, xxhash.Sum64String(member.Name)) > mine {
+			better++
+		}
+	}
+	return better < readers
+}
+
+// OnNews sets what is called when other instances should hear of a change. It
+// must be called before Run.
+func (f *Follower) OnNews(news func()) { f.news = news }
+
 func (f *Follower) fetch(ctx context.Context, row tabler.Row) error {
 	var head Head
 	if err := json.Unmarshal(row.Value, &head); err != nil {
@@ -188,7 +238,11 @@
 	if head.Number <= f.number() {
 		return nil
 	}
-	source, err := f.store.Get(ctx, head.Digest)
+	packed, err := f.store.Get(ctx, head.Digest)
+	if err != nil {
+		return err
+	}
+	source, err := compressor.Unpack(packed)
 	if err != nil {
 		return err
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -18,7 +18,7 @@
 // that is damaged, or one with faults.
 func TestNumbersNeverGoBack(t *testing.T) {
 	board := keeper.New()
-	f := follower.New(board, "a", nil, nil, nil, counter.New(metrics.NewRegistry()), zap.NewNop())
+	f := follower.New(board, "me", "a", nil, nil, nil, counter.New(metrics.NewRegistry()), zap.NewNop())
 	adopt := func(number uint64, site string) error {
 		source := fmt.Appendf(nil, `{"data_centres":[{"name":%q}]}`, site)
 		return f.Adopt(number, cataloguer.Digest(source), source)
--- a/gossiper/digest.go
+++ b/gossiper/digest.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"wisteriadrum/compressor"
 	"wisteriadrum/messenger"
 	"wisteriadrum/packer"
 )
@@ -121,7 +122,11 @@
 		g.count.Add("peers", "pull-failures")
 		return false
 	}
-	if err := g.follow.Adopt(source.Number, source.Digest, source.Text); err != nil {
+	text, err := compressor.Unpack(source.Packed)
+	if err == nil {
+		err = g.follow.Adopt(source.Number, source.Digest, text)
+	}
+	if err != nil {
 		g.log.Warn("configuration of another instance refused", zap.String("from", digest.From.Name), zap.Error(err))
 		return false
 	}
--- a/gossiper/rpc.go
+++ b/gossiper/rpc.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"wisteriadrum/attester"
+	"wisteriadrum/compressor"
 	"wisteriadrum/messenger"
 	"wisteriadrum/meter"
 	"wisteriadrum/tabler"
@@ -19,7 +20,7 @@
 type Source struct {
 	Number uint64
 	Digest string
-	Text   []byte
+	Packed []byte // as package compressor does
 }
 
 // Applied is the outcome of a write made for another instance.
@@ -79,7 +80,7 @@
 	if index == nil || index.Number < number {
 		return eris.Errorf("configuration %d is not here", number)
 	}
-	*reply = Source{Number: index.Number, Digest: index.Digest, Text: index.Source}
+	*reply = Source{Number: index.Number, Digest: index.Digest, Packed: compressor.Pack(index.Source)}
 	return nil
 }
 
--- a/instance.go
+++ b/instance.go
@@ -106,9 +106,10 @@
 	endpoints := dialer.New(dial, now)
 	self := messenger.Member{Name: settings.Name, DataCentre: settings.DataCentre, Peer: settings.Peer, Boot: now().UTC()}
 
-	i.follow = follower.New(i.board, settings.DataCentre, table, store, lister.New(fetcher.New(settings.List, dial)), count, log)
+	i.follow = follower.New(i.board, settings.Name, settings.DataCentre, table, store, lister.New(fetcher.New(settings.List, dial)), count, log)
 	i.publish = publisher.New(table, store)
 	i.gossip = gossiper.New(self, settings.Peers, i.board, ward, i.follow, holders.Slot, peers, count, log, now)
+	i.follow.OnNews(i.gossip.News)
 	i.probe = prober.New(settings.Name, i.board, endpoints, holders.Slot, count, now)
 	i.tail = tailer.New(i.board, endpoints, holders, settings.Events, count, now)
 	i.batch = batcher.New(table, count)
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"wisteriadrum/cataloguer"
+	"wisteriadrum/compressor"
 	"wisteriadrum/follower"
 	"wisteriadrum/pacer"
 	"wisteriadrum/stopper"
@@ -56,7 +57,7 @@
 	}
 	encoded := set.Encode()
 	digest := cataloguer.Digest(encoded)
-	if err := p.store.Put(ctx, digest, encoded); err != nil {
+	if err := p.store.Put(ctx, digest, compressor.Pack(encoded)); err != nil {
 		return follower.Head{}, eris.Wrap(err, "store the set")
 	}
 	row, current, err := p.head(ctx)
--- a/stager/control_test.go
+++ b/stager/control_test.go
@@ -193,3 +193,34 @@
 	got := call(t, request{target: stage.Callers()[5], path: "/v1/completions", body: prompt("from a peer", 2, true)})
 	assert.Assert(t, got.complete, "%s %s", got.code, got.text)
 }
+
+// In a large data centre few instances read the platform's list; all heed it.
+func TestListReachesAll(t *testing.T) {
+	stage := open(t, func(o *stager.Options) { o.Instances = 5 })
+	eventually(t, 10*time.Second, "the instances have not met", func() bool {
+		for _, node := range stage.Instances {
+			if len(node.Status().Members) < 5 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second) // for all to see who reads
+	name := stage.Engines[0].Name
+	open := func() int {
+		count := 0
+		for _, node := range stage.Instances {
+			for _, endpoint := range node.Status().Endpoints {
+				if endpoint.Name == name && endpoint.Open {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	assert.Equal(t, open(), 5)
+	stage.Platform.List(lister.Entry{Name: name, State: lister.Leaving})
+	eventually(t, leavingBy, "some instance has not heard", func() bool { return open() == 0 })
+	stage.Platform.List(lister.Entry{Name: name, State: lister.Live})
+	eventually(t, leavingBy, "some instance has not heard", func() bool { return open() == 5 })
+}
