--- a/cmd/wisteriadrum/tools.go
+++ b/cmd/wisteriadrum/tools.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -43,6 +45,7 @@
 type target struct {
 	Operator string `default:"127.0.0.1:8081" help:"Address of an instance's operator listener."`
 	Key      string `env:"WISTERIADRUM_KEY" help:"Operator key."`
+	CA       string `help:"File of the authority of the listener's certificate, in PEM form; the listener has TLS."`
 }
 
 type publishCmd struct {
@@ -87,14 +90,18 @@
 func (c *statusCmd) Run() error { return c.call(http.MethodGet, "/status", nil) }
 
 func (t *target) call(method, path string, body []byte) error {
-	request, err := http.NewRequest(method, "http://"+t.Operator+path, bytes.NewReader(body))
+	scheme, client, err := t.client()
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	request, err := http.NewRequest(method, scheme+t.Operator+path, bytes.NewReader(body))
 	if err != nil {
 		return fail(exitUsage, err)
 	}
 	if t.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+t.Key)
 	}
-	response, err := (&http.Client{Timeout: callTimeout}).Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
@@ -106,6 +113,23 @@
 	return judge(response.StatusCode, text)
 }
 
+// client returns the scheme and client to call the listener with.
+func (t *target) client() (string, *http.Client, error) {
+	if t.CA == "" {
+		return "http://", &http.Client{Timeout: callTimeout}, nil
+	}
+	text, err := os.ReadFile(t.CA)
+	if err != nil {
+		return "", nil, err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return "", nil, fmt.Errorf("%s holds no certificate", t.CA)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}
+	return "https://", &http.Client{Timeout: callTimeout, Transport: transport}, nil
+}
+
 // judge prints an answer or turns it into the failure that it is.
 func judge(status int, text []byte) error {
 	err := errors.New(string(bytes.TrimSpace(text)))
--- a/inferrer/attempt.go
+++ b/inferrer/attempt.go
@@ -58,7 +58,7 @@
 	text := a.prompt.Text
 	count := tokens(a.prompt)
 	for i := range count {
-		token := next(text, i == 0)
+		token := next(text)
 		text += token
 		if !a.add(string(a.chunk(token, i == count-1).Encode()), false) {
 			break
--- a/inferrer/engine.go
+++ b/inferrer/engine.go
@@ -209,8 +209,8 @@
 func Generate(prompt prompter.Prompt) string {
 	text := strings.Builder{}
 	last := prompt.Text
-	for i := range tokens(prompt) {
-		token := next(last, i == 0)
+	for range tokens(prompt) {
+		token := next(last)
 		text.WriteString(token)
 		last += token
 	}
@@ -227,7 +227,8 @@
 // window is the length of the text that the next token depends on.
 const window = 200
 
-func next(text string, _ bool) string {
+// next returns the token that follows text.
+func next(text string) string {
 	tail := text[max(0, len(text)-window):]
 	return fmt.Sprintf(" w%03d", xxhash.Sum64String(tail)%1000)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -39,6 +39,7 @@
 	eventStream   = "text/event-stream"
 	serviceLimit  = 2 * time.Minute // of one request to a plain service
 	keepAliveTime = time.Minute
+	readTime      = time.Minute // to read one request
 )
 
 // Server answers callers with what the data path brings.
@@ -61,6 +62,7 @@
 		ErrorHandler:          s.malformed,
 		MaxRequestBodySize:    maxBody,
 		ReadBufferSize:        maxHeader,
+		ReadTimeout:           readTime,
 		IdleTimeout:           keepAliveTime,
 		NoDefaultServerHeader: true, Logger: muter.New(),
 		CloseOnShutdown: true,
