An answer is whole with its last token; one answer, one version

Cause: an engine that ended after the last token and before the closing event made another engine go on with no tokens left to ask for, which it took as no limit: the caller got 36 tokens in place of 20 (TestEngineLostAfterLastToken, red before). Found by reading. An answer could also go on from other weights in a rollout, and an attempt resumed before its first token had two seconds for it.

Ruled out: asking for one token and dropping it.

Change: the chunk that gives the reason to finish ends the answer; weights stay those an answer began with; a resumed attempt has the whole time to first token.

--- a/chunker/chunk.go
+++ b/chunker/chunk.go
@@ -62,6 +62,9 @@
 	return choice.Text
 }
 
+// Ends reports whether the chunk is the last with text.
+func (c Chunk) Ends() bool { return len(c.Choices) > 0 && c.Choices[0].Finish != nil }
+
 // WithID returns a copy of c with another answer id.
 func (c Chunk) WithID(id string) Chunk {
 	c.ID = id
--- a/inferrer/faults.go
+++ b/inferrer/faults.go
@@ -10,6 +10,8 @@
 	// End ends a stream after so many events as if it were complete, but
 	// without its closing event.
 	End int `json:"end"`
+	// Stall sends nothing on a connection after so many events.
+	Stall int `json:"stall"`
 	// Cross answers the next so many requests with another attempt's answer.
 	Cross int `json:"cross"`
 	// Refuse refuses the next so many requests.
--- a/inferrer/http.go
+++ b/inferrer/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -161,6 +162,10 @@
 					_ = conn.Close()
 					return
 				}
+				if faults.Stall > 0 && written > faults.Stall {
+					time.Sleep(stallTime)
+					return
+				}
 				if faults.End > 0 && written > faults.End {
 					return
 				}
@@ -178,6 +183,9 @@
 	})
 }
 
+// stallTime outlasts every test.
+const stallTime = time.Minute
+
 func send(writer *bufio.Writer, sequence int, event string, twice bool) bool {
 	text := fmt.Sprintf("id: %d\ndata: %s\n\n", sequence, event)
 	if twice {
--- a/stager/streams_test.go
+++ b/stager/streams_test.go
@@ -254,3 +254,26 @@
 	assert.Assert(t, got.complete, got.text)
 	assert.Equal(t, stage.Engines[0].Stats().Requests, 0)
 }
+
+// An answer whose last token has come is complete, also when its engine ends
+// before the closing event: nothing is generated beyond it.
+func TestEngineLostAfterLastToken(t *testing.T) {
+	stage := open(t, nil)
+	for _, engine := range stage.Engines {
+		engine.Fail(inferrer.Faults{Stall: 20})
+	}
+	body := prompt("the end", 20, true)
+	result := make(chan answer, 1)
+	go func() { result <- call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: body}) }()
+	time.Sleep(300 * time.Millisecond)
+	for _, engine := range stage.Engines {
+		if engine.Stats().Requests > 0 {
+			engine.Crash()
+		} else {
+			engine.Fail(inferrer.Faults{})
+		}
+	}
+	got := <-result
+	assert.Equal(t, got.text, reference(t, body))
+	assert.Assert(t, got.complete, "%s", got.code)
+}
--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -69,9 +69,12 @@
 	}
 }
 
-// weightsOf returns the weights to demand of track: those it holds if the pool
-// accepts them, else the pool's own.
+// weightsOf returns the weights to demand of track: those that an answer was
+// begun with, else those it holds if the pool accepts them, else the pool's own.
 func weightsOf(g *generation, track *tracker.Track) string {
+	if g.weights != "" {
+		return g.weights
+	}
 	if weights := track.View().Weights; g.request.Pool.Accepts(weights) {
 		return weights
 	}
@@ -98,6 +101,9 @@
 			continue
 		}
 		a.call = a.call.WithResume(a.sequence, a.now())
+		if a.sequence == 0 {
+			a.call.FirstBy = a.request.Route.FirstBy(a.now())
+		}
 	}
 	a.picker.Failed(a.track)
 	a.cancel()
@@ -257,6 +263,8 @@
 		return errGone
 	}
 	a.sequence = sequence
+	a.weights = a.call.Weights
+	a.ended = a.ended || chunk.Ends()
 	if text := chunk.Text(); text != "" {
 		a.text.WriteString(text)
 		a.tokens++
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -52,6 +52,8 @@
 	tried   []*tracker.Track
 	moves   int
 	rounds  int
+	ended   bool   // the last token has been relayed
+	weights string // that the text relayed came from
 	begun   time.Time
 	worst   judge.Verdict // over all attempts
 }
@@ -72,7 +74,9 @@
 			return g.verdict(err)
 		}
 		outcome, err := s.attempt(ctx, g, choice)
-		if outcome == finished {
+		if outcome == finished || g.ended {
+			// Without its closing event an answer is whole once its last
+			// token has come.
 			s.budget.Earn()
 			return nil
 		}
@@ -132,7 +136,7 @@
 	a.incarnation = ""
 	a.call = a.call.WithResume(at.sequence, s.now())
 	outcome, err := a.run()
-	if outcome == finished {
+	if outcome == finished || g.ended {
 		return nil
 	}
 	if outcome == moved {
