Positions are checked; the stand-in's table stands once; the model is split

Change: endpoint and attempt in an event id must be names; storekeeper gives its table without a network; arrivals have a file of their own.

Ruled out: escaping the attempt's name, which hides a request that is wrong.

Conclusion: behaviour is as before for ids that instances give out.

--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -27,19 +27,8 @@
 	"wisteriadrum/picker"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/storekeeper"
-	"wisteriadrum/tabler"
 )
 
-type table struct{ *storekeeper.Platform }
-
-func (t table) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
-	return t.Read(keys...), nil
-}
-
-func (t table) Apply(_ context.Context, writes []tabler.Write) ([]tabler.Row, error) {
-	return t.Transact(writes), nil
-}
-
 // endpoint counts the calls that reach it.
 type endpoint struct {
 	dialer.Dialer
@@ -71,7 +60,7 @@
 	source := parsed.Encode()
 	assert.NilError(t, follower.New(board, "me", "a", nil, nil, nil, count, zap.NewNop()).Adopt(1, cataloguer.Digest(source), source))
 
-	shared := table{storekeeper.New(time.Now)}
+	shared := storekeeper.New(time.Now).Table()
 	reached := &endpoint{}
 	holders := mapper.New(1<<16, now)
 	pick := picker.New(board, balancer.New(), balancer.New(), nil, nil, holders, quarantiner.New(), count, func() time.Time { return now }, func() {})
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -1,7 +1,6 @@
 package leaser_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -11,25 +10,14 @@
 	"wisteriadrum/inferrer"
 	"wisteriadrum/leaser"
 	"wisteriadrum/storekeeper"
-	"wisteriadrum/tabler"
 )
 
-type table struct{ *storekeeper.Platform }
-
-func (t table) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
-	return t.Read(keys...), nil
-}
-
-func (t table) Apply(_ context.Context, writes []tabler.Write) ([]tabler.Row, error) {
-	return t.Transact(writes), nil
-}
-
 // A holder that was frozen past its lease may not act, cannot renew, and its
 // orders lose against those of the next holder.
 func TestFrozenHolderLosesTheLease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
-	shared := table{storekeeper.New(clock)}
+	shared := storekeeper.New(clock).Table()
 	first, second := leaser.New(shared, "lease", "one", clock), leaser.New(shared, "lease", "two", clock)
 	old, err := first.Take(t.Context())
 	assert.NilError(t, err)
--- /dev/null
+++ b/replayer/arrivals.go
@@ -0,0 +1,98 @@
+package replayer
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriadrum/composer"
+	"wisteriadrum/hasher"
+	"wisteriadrum/tenant"
+)
+
+// rate returns the mean time between requests at a share of full load.
+func (w *world) rate(load float64) time.Duration {
+	shape := w.site.Shape
+	size := float64(shape.Preamble + shape.Document + shape.Section + shape.Question)
+	each := size * (1 - w.site.Hit) * float64(w.site.PerByte)
+	return time.Duration(each / float64(w.site.Engines) / load)
+}
+
+func (w *world) arrive(mean time.Duration, next func() composer.Item, from time.Time) {
+	at := from.Add(time.Duration(w.rand.ExpFloat64() * float64(mean)))
+	if at.After(w.end) {
+		return
+	}
+	w.at(at, func() {
+		item := next()
+		r := &request{workspace: item.Workspace, chain: chain(item), at: w.now}
+		s := w.seats[w.rand.IntN(len(w.seats))]
+		if w.admit(s, item.Workspace) {
+			w.enter(s, r)
+		}
+		w.arrive(mean, next, w.now)
+	})
+}
+
+// enter routes a request where it arrived, or at the home of its prefix.
+func (w *world) enter(s *seat, r *request) {
+	home := w.home(r)
+	if home == nil || home == s {
+		w.route(s, r)
+		return
+	}
+	way := w.distance(s.site, home.site)
+	r.back = way
+	w.after(way, func() { w.route(home, r) })
+}
+
+// home returns the instance that the prefix of the request belongs to.
+func (w *world) home(r *request) *seat {
+	if !w.site.Home || r.chain.Depth() == 0 {
+		return nil
+	}
+	key := r.chain.Level(min(homeLevel, r.chain.Depth()) - 1)
+	return w.seats[w.homes.First(key)[0]]
+}
+
+// admit applies the limits of a flooded scene.
+func (w *world) admit(s *seat, workspace int) bool {
+	if w.scene.Flood == 0 {
+		return true
+	}
+	release, err := s.limits.Admit(w.workspaces[workspace], w.now)
+	if err != nil {
+		w.result.limited++
+		return false
+	}
+	release()
+	return true
+}
+
+// limitsOf gives each workspace a limit of twice its usual rate, which is
+// counted from a sample of the traffic.
+func limitsOf(site Site, perSecond float64) []tenant.Workspace {
+	const sample = 20000
+	traffic := composer.New(site.Shape, sample)
+	list := make([]tenant.Workspace, site.Shape.Workspaces)
+	for range sample {
+		list[traffic.Next().Workspace].Rate += 2 * perSecond / sample
+	}
+	for i := range list {
+		list[i].Name = fmt.Sprint("workspace-", i)
+		list[i].Burst = int(list[i].Rate/float64(site.Instances)) + 1
+	}
+	return list
+}
+
+// chain names the pieces of an item without making its text.
+func chain(item composer.Item) hasher.Chain {
+	const piece = 4000 // bytes
+	var levels []uint64
+	for _, level := range item.Levels {
+		name := hasher.New(level.Name, "", "", "x", 1).Level(0)
+		for i := range level.Bytes / piece {
+			levels = append(levels, name+uint64(i))
+		}
+	}
+	return hasher.Of(levels, piece, item.Size())
+}
--- a/stager/streams_test.go
+++ b/stager/streams_test.go
@@ -124,9 +124,11 @@
 	assert.Equal(t, len(rest.text), len(whole.text)*2/3)
 	stranger := call(t, request{target: stage.Callers()[1], path: "/v1/completions", body: body, last: middle, workspace: 1})
 	assert.Equal(t, stranger.code, "answer-lost")
-	bad := call(t, request{target: stage.Callers()[1], path: "/v1/completions", body: body, last: "nonsense"})
-	assert.Equal(t, bad.code, "bad-request")
-	assert.Equal(t, bad.verdict, "not-run")
+	for _, last := range []string{"nonsense", "a-engine-1/../load/3", "a-engine-1/x y/3", "a-engine-1/x?y/3", "a-engine-1/x/0"} {
+		bad := call(t, request{target: stage.Callers()[1], path: "/v1/completions", body: body, last: last})
+		assert.Equal(t, bad.code, "bad-request", last)
+		assert.Equal(t, bad.verdict, "not-run")
+	}
 }
 
 // A caller that leaves cancels its generation at the engine.
--- a/streamer/position.go
+++ b/streamer/position.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"wisteriadrum/judge"
+	"wisteriadrum/namer"
 	"wisteriadrum/refuser"
 )
 
@@ -27,7 +28,7 @@
 		return position{}, badPosition(text)
 	}
 	sequence, err := strconv.Atoi(parts[2])
-	if err != nil || sequence < 1 {
+	if err != nil || sequence < 1 || !namer.Valid(parts[0]) || !namer.Valid(parts[1]) {
 		return position{}, badPosition(text)
 	}
 	return position{endpoint: parts[0], attempt: parts[1], sequence: sequence}, nil
