A pool without endpoints, a first set, and faults of our own

Cause: a prompt of a whole piece for a pool without endpoints ended the process (nil rendezvous order; the golden refusal had used a prompt too short to look one up). A round of probes between the first fleet and its index would have done so too. Both found by reading.

Change: an order that is nil has no first; probes wait for the index; a panic on the data path is a refusal of that request, counted; the stand-in engine computes at the speed that the examples state.

Ruled out: recovering alone, which hides the two causes.

Conclusion: holds; the recovery itself has no test.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -42,7 +42,7 @@
 	Weights  string `default:"v1" help:"Version of the weights."`
 	Piece    int    `default:"4000" help:"Bytes of a cached piece."`
 	Pieces   int    `default:"400" help:"Pieces that the cache holds."`
-	PerByte  int    `default:"5000" help:"Prefill time of a byte in nanoseconds."`
+	PerByte  int    `default:"2000" help:"Prefill time of a byte in nanoseconds."`
 	PerToken int    `default:"2000" help:"Time of a token in microseconds."`
 	Count    int    `default:"1" help:"Engines to run, on ports from that of listen."`
 	Poison   string `help:"Text that crashes the engine when a prompt contains it."`
--- a/permuter/order.go
+++ b/permuter/order.go
@@ -39,8 +39,12 @@
 	return o
 }
 
-// First returns the places of the first endpoints for key, the best first.
+// First returns the places of the first endpoints for key, the best first. An
+// order that is nil has none.
 func (o *Order) First(key uint64) []uint16 {
+	if o == nil {
+		return nil
+	}
 	// The high bits: the cache map uses the low ones.
 	return o.firsts[key>>52][:o.size]
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -53,6 +53,9 @@
 	group := p.pool.NewGroupContext(ctx)
 	members := p.board.Members.Load()
 	index := p.board.Index.Load()
+	if index == nil {
+		return // its endpoints may be known a moment earlier
+	}
 	for _, track := range p.board.Fleet.Load().All() {
 		if index.Pool(track.Endpoint.Pool).Kind == grouper.Engine && p.mine(track, members) {
 			group.Submit(func() { p.probe(track) })
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -37,6 +37,7 @@
 	Timeout       Code = "timeout"
 	CallerGone    Code = "caller-gone"
 	Rejected      Code = "rejected"
+	Internal      Code = "internal"
 )
 
 var statuses = map[Code]int{
@@ -46,7 +47,7 @@
 	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503,
 	UpstreamLost: 502, UpstreamBusy: 503, WrongWeights: 503,
 	AnswerCrossed: 502, AnswerLost: 502, Timeout: 504, CallerGone: 499,
-	Rejected: 400,
+	Rejected: 400, Internal: 500,
 }
 
 // Codes returns every code.
--- a/server/server.go
+++ b/server/server.go
@@ -141,8 +141,12 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		answer, err := work()
-		done <- outcome{answer: answer, err: err}
+		var o outcome
+		defer func() {
+			o.err = s.survived(recover(), o.err)
+			done <- o
+		}()
+		o.answer, o.err = work()
 	}()
 	select {
 	case o := <-done:
@@ -152,6 +156,16 @@
 	}
 }
 
+// survived turns a panic of the data path into a refusal, so that one request
+// does not end all others.
+func (s *Server) survived(panicked any, err error) error {
+	if panicked == nil {
+		return err
+	}
+	s.count.Add("requests", "panicked")
+	return refuser.New(refuser.Internal, judge.MayHaveRun, "internal error: %v", panicked)
+}
+
 func aborted() error {
 	return refuser.New(refuser.Stopping, judge.MayHaveRun, "the instance was stopped at once")
 }
--- a/server/stream.go
+++ b/server/stream.go
@@ -18,8 +18,9 @@
 	sink := &pipe{events: make(chan event), gone: limit.Done()}
 	go func() {
 		defer release()
+		defer close(sink.events)
+		defer func() { sink.err = s.survived(recover(), sink.err) }()
 		sink.err = s.streams.Run(limit, request, sink)
-		close(sink.events)
 	}()
 	first, ok, err := s.next(sink)
 	if err != nil {
