Claim anew when a record ends meanwhile

Cause: a void record that ended between being read and being written over made the request fail as unreadable (TestRecordEndsMeanwhile: red before). Found by reading. The refusal was true, but needless.

Ruled out: waiting for the next resend.

Change: an absent row is claimed as such.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -93,6 +93,10 @@
 		if won {
 			return c.run(row, mine, work)
 		}
+		if row.Version == 0 {
+			version = 0 // the record has ended meanwhile
+			continue
+		}
 		other, err := recorder.New(row)
 		if err != nil {
 			return recorder.Answer{}, refuser.New(refuser.ClaimFailed, judge.NotRun, "%s", err)
