A refusal says why the last endpoint was left

Cause: when every endpoint had been tried, the caller was told only that none was left; the reason (wrong weights, lost, busy) was in no counter of refusals.

Ruled out: listing all causes; the last one is what a person looks for first.

Change: the refusal of the last endpoint takes the place of no-endpoint, with its time of a useful retry.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -64,6 +64,7 @@
 	var tried []*tracker.Track
 	worst := judge.NotRun
 	moves, rounds := 0, 0
+	var cause error // of the last move
 	for {
 		choice, err := a.picker.Pick(request, tried)
 		if err != nil && len(tried) > 0 && rounds < maxRounds {
@@ -74,13 +75,14 @@
 			continue
 		}
 		if err != nil {
-			return recorder.Answer{}, withVerdict(err, worst)
+			return recorder.Answer{}, withVerdict(refuser.Because(err, cause), worst)
 		}
 		answer, err := a.attempt(request, choice.Track, moves, sendBy)
 		if err == nil {
 			a.budget.Earn()
 			return answer, nil
 		}
+		cause = err
 		worst = max(worst, judge.Of(err))
 		tried = append(tried, choice.Track)
 		moves++
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -84,6 +84,17 @@
 // Status returns the HTTP status for the refusal's code.
 func (r *Refusal) Status() int { return statuses[r.Code] }
 
+// Because returns cause in place of none, if none says that no endpoint is left
+// and cause says why the last one was; it keeps the time of a useful retry.
+func Because(none, cause error) error {
+	left, ok := none.(*Refusal)
+	last, known := cause.(*Refusal)
+	if !ok || !known || left.Code != NoEndpoint {
+		return none
+	}
+	return last.WithRetryAt(left.RetryAt)
+}
+
 // WithRetryAt returns a copy of r with the earliest time of a useful retry.
 func (r *Refusal) WithRetryAt(at time.Time) *Refusal {
 	next := *r
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -54,6 +54,7 @@
 	rounds  int
 	ended   bool   // the last token has been relayed
 	weights string // that the text relayed came from
+	cause   error  // of the last move
 	begun   time.Time
 	worst   judge.Verdict // over all attempts
 }
@@ -71,7 +72,7 @@
 			continue
 		}
 		if err != nil {
-			return g.verdict(err)
+			return g.verdict(refuser.Because(err, g.cause))
 		}
 		outcome, err := s.attempt(ctx, g, choice)
 		if outcome == finished || g.ended {
@@ -105,6 +106,7 @@
 func (s *Streamer) move(ctx context.Context, g *generation, from *tracker.Track, cause error) error {
 	g.tried = append(g.tried, from)
 	g.moves++
+	g.cause = cause
 	switch {
 	case g.tokens > 0 && !g.request.Pool.Continues:
 		return refuser.New(refuser.UpstreamLost, judge.Ran, "the engine was lost after %d tokens: %s", g.tokens, cause)
