A large answer is replayed after its instance is gone

Cause: answers above 32 KB go to the object store, which no test reached; the comment that promised one stood over another test.

Ruled out: nothing; the path held as it was.

Change: the test, and a stand-in service that pads its answers.

--- a/booker/service.go
+++ b/booker/service.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	Hold int `json:"hold"`
 	// Cut runs the next so many requests and cuts their answers short.
 	Cut int `json:"cut"`
+	// Pad makes every answer longer by so many bytes.
+	Pad int `json:"pad"`
 }
 
 // Service runs each request that reaches it.
@@ -96,7 +99,7 @@
 		return
 	}
 	time.Sleep(time.Duration(faults.Hold) * time.Millisecond)
-	answer := s.book(string(ctx.PostBody()))
+	answer := s.book(string(ctx.PostBody())) + strings.Repeat(" ", faults.Pad)
 	s.mu.Lock()
 	s.faults.Lose = max(s.faults.Lose-1, 0)
 	s.faults.Cut = max(s.faults.Cut-1, 0)
--- a/stager/once_test.go
+++ b/stager/once_test.go
@@ -151,7 +151,28 @@
 	assert.Equal(t, runs(stage, "slot"), 1)
 }
 
-// An answer too large for a row is kept and replayed.
+// An answer too large for a row is kept as an object and replayed elsewhere,
+// also when the instance that ran it is gone.
+func TestLargeAnswerIsReplayed(t *testing.T) {
+	stage := open(t, twoInstances)
+	for _, service := range stage.Services {
+		service.Fail(booker.Faults{Pad: 100_000})
+	}
+	first := call(t, booking(stage.Callers()[0], "k", "slot"))
+	assert.Equal(t, first.status, http.StatusOK)
+	assert.Assert(t, len(first.text) > 100_000)
+	eventually(t, 5*time.Second, "the answer was not kept", func() bool {
+		return stage.Instances[0].Counters()["table.transactions"] >= 2
+	})
+	time.Sleep(100 * time.Millisecond) // for the second transaction to end
+	stage.Instances[0].Kill()
+	again := call(t, booking(stage.Callers()[1], "k", "slot"))
+	assert.Equal(t, again.status, http.StatusOK)
+	assert.Assert(t, again.text == first.text)
+	assert.Equal(t, runs(stage, "slot"), 1)
+}
+
+// A request that may be repeated is, when its answer is lost.
 func TestOrdinaryServiceIsRetried(t *testing.T) {
 	stage := open(t, nil)
 	stage.Services[0].Fail(booker.Faults{Lose: 1})
