An engine that ignores fences is set right

Cause: docs/PROOF.md had this row as not proved.

Change: the test.

Conclusion: an old order costs a load and capacity, and no answer.

--- a/stager/orders_test.go
+++ b/stager/orders_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/cataloguer"
+	"wisteriadrum/commander"
 	"wisteriadrum/stager"
 	"wisteriadrum/storekeeper"
 )
@@ -65,3 +66,26 @@
 		assert.DeepEqual(t, engine.History(), []string{"v2"})
 	}
 }
+
+// An engine that ignores fences and obeys an old order late answers nothing
+// with the old weights and is ordered forward again.
+func TestUnfencedEngineIsSetRight(t *testing.T) {
+	stage := open(t, func(o *stager.Options) { o.Engines, o.Engine.LoadTime = 2, 50*time.Millisecond })
+	stage.Set.Pools[0].Version = "v2"
+	_, err := stage.Instances[0].Publish(t.Context(), stage.Set.Encode(), nil)
+	assert.NilError(t, err)
+	late := stage.Engines[0]
+	loaded := func() bool { return late.Weights() == "v2" && stage.Engines[1].Weights() == "v2" && !late.Loading() }
+	eventually(t, 20*time.Second, "the engines were not ordered", loaded)
+	assert.NilError(t, late.Obey(commander.Order{Weights: "v1"}))
+	eventually(t, 5*time.Second, "the old order was not obeyed", func() bool { return late.Weights() == "v1" })
+	served := late.Stats().Requests
+	for i := range 10 {
+		got := call(t, request{target: stage.Callers()[0], path: "/v1/completions", body: prompt(fmt.Sprint("late ", i), 2, true)})
+		assert.Assert(t, got.complete, "%s %s", got.code, got.text)
+		if late.Weights() == "v1" {
+			assert.Equal(t, late.Stats().Requests, served)
+		}
+	}
+	eventually(t, 20*time.Second, "the engine was not set right", loaded)
+}
