--- a/replayer/routing_test.go
+++ b/replayer/routing_test.go
@@ -18,13 +18,12 @@
 )
 
 const (
-	length     = 60 * time.Second // of virtual time
-	seeds      = 3
-	hashLevel  = 10 // pieces: the preamble and the document of both shapes
-	boundLoad  = 1.25
-	mapBytes   = 8 << 20
-	ours       = "cost"
-	warmedUpBy = 3 * time.Second
+	length    = 60 * time.Second // of virtual time
+	seeds     = 3
+	hashLevel = 10 // pieces: the preamble and the document of both shapes
+	boundLoad = 1.25
+	mapBytes  = 8 << 20
+	ours      = "cost"
 )
 
 type contender struct {
@@ -84,15 +83,8 @@
 		sum.Limited += r.Limited
 		sum.Refused += r.Refused
 	}
-	b.ReportMetric(0, "ns/op")
-	b.ReportMetric(100*sum.HitRate, "hit%")
-	b.ReportMetric(sum.P50, "p50ms")
-	b.ReportMetric(sum.P95, "p95ms")
-	b.ReportMetric(sum.P99, "p99ms")
+	report(b, &sum)
 	b.ReportMetric(sum.OthersP99, "others-p99ms")
-	b.ReportMetric(100*sum.Wasted, "wasted%")
-	b.ReportMetric(sum.Skew, "skew")
-	b.ReportMetric(sum.Asked, "asked/req")
 	b.ReportMetric(100*sum.Herd, "halftime%")
 	b.ReportMetric(float64(sum.Limited), "limited")
 	b.ReportMetric(float64(sum.Refused), "refused")
@@ -131,6 +123,7 @@
 	scaleLength = 32 * time.Second
 )
 
+// report gives what every benchmark of routing measures.
 func report(b *testing.B, r *replayer.Result) {
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(100*r.HitRate, "hit%")
--- a/replayer/world.go
+++ b/replayer/world.go
@@ -128,35 +128,6 @@
 	return list
 }
 
-// plan schedules the arrivals and what the scene brings.
-func (w *world) plan() {
-	half := w.end.Sub(w.start) / 2
-	w.arrive(w.rate(w.scene.Load), func() composer.Item { return w.traffic.Next() }, w.start)
-	for i := range w.seats {
-		w.poll(i)
-	}
-	w.after(half, func() {
-		if w.scene.Shift {
-			w.traffic.Shift()
-		}
-		if w.scene.Flood > 0 {
-			w.arrive(w.rate(w.scene.Flood), func() composer.Item { return w.traffic.Of(w.site.Shape.Workspaces - 1) }, w.now)
-		}
-		if w.scene.Herd {
-			for i := range w.seats {
-				w.seats[i] = w.seatOf(i)
-				w.catchUp(w.seats[i])
-			}
-		}
-		if w.scene.Rollout {
-			w.rollout(0)
-		}
-	})
-	if w.scene.Crash > 0 {
-		w.crashes(0)
-	}
-}
-
 func (w *world) route(s *seat, r *request) {
 	if len(r.tries) >= maxTries {
 		w.result.refused++
