--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -65,7 +65,7 @@
 	holders := mapper.New(1<<16, now)
 	pick := picker.New(board, balancer.New(), balancer.New(), nil, nil, holders, quarantiner.New(), count, func() time.Time { return now }, func() {})
 	claims := claimer.New("me", "", batcher.New(shared, count), shared, nil, nil, count, func() time.Time { return now })
-	attempts := attempter.New(reached, pick, claims, budgeter.New(), count, late)
+	attempts := attempter.New(reached, pick, claims, budgeter.New(budgeter.Default(), late), count, late)
 	request, err := identifier.New(identifier.Input{ID: "r", Method: "POST", Path: "/book", Authorization: "Bearer key-0", Key: "k", Body: []byte("slot"), At: now}, board.Index.Load())
 	assert.NilError(t, err)
 	_, err = attempts.Run(t.Context(), request)
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -1,45 +1,87 @@
-// Package budgeter bounds retries to a share of the requests that succeed.
+// Package budgeter bounds retries to a share of the requests of a window.
 package budgeter
 
 import (
 	"sync"
-
-	"golang.org/x/time/rate"
+	"time"
 )
 
-const (
-	share    = 0.1 // retries earned by one success
-	most     = 100 // retries saved up
-	floor    = 2   // retries a second that are always allowed
-	maxBurst = 10
-)
+// steps is the number of steps in which the window slides.
+const steps = 10
+
+// Rule bounds the retries of all instances together.
+type Rule struct {
+	// Ratio is the number of retries allowed for each request of a window.
+	Ratio float64
+	// Slack is the number of retries that a window allows besides.
+	Slack float64
+	// Window is the length of the window in milliseconds.
+	Window int
+}
 
-// Budget counts retries that may still be made.
+// Default is the rule of the product's own interface: a tenth of the
+// requests, and two a second besides.
+func Default() Rule { return Rule{Ratio: 0.1, Slack: 20, Window: 10000} }
+
+// Budget counts the retries of one instance that may still be made.
 type Budget struct {
-	mu     sync.Mutex
-	earned float64
-	always *rate.Limiter
+	rule  Rule
+	now   func() time.Time
+	start time.Time
+	mu    sync.Mutex
+	share float64
+	slots [steps]slot
+}
+
+type slot struct {
+	number          int64
+	requests, spent float64
 }
 
-// New returns a budget that allows a few retries a second from the start.
-func New() *Budget {
-	return &Budget{always: rate.NewLimiter(floor, maxBurst)}
+// New returns a budget by rule for the only instance.
+func New(rule Rule, now func() time.Time) *Budget {
+	return &Budget{rule: rule, now: now, start: now(), share: 1}
 }
 
-// Earn counts a success.
+// Share divides the slack among the given number of instances.
+func (b *Budget) Share(instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = 1 / float64(max(instances, 1))
+}
+
+// Earn counts a request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.earned = min(most, b.earned+share)
+	b.slot().requests++
 }
 
 // Spend takes one retry and reports whether there was one left.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.earned >= 1 {
-		b.earned--
-		return true
+	current := b.slot()
+	requests, spent := 0.0, 0.0
+	for _, past := range b.slots {
+		if current.number-past.number < steps {
+			requests += past.requests
+			spent += past.spent
+		}
+	}
+	if spent+1 > b.rule.Ratio*requests+b.rule.Slack*b.share {
+		return false
+	}
+	current.spent++
+	return true
+}
+
+func (b *Budget) slot() *slot {
+	step := int64(b.rule.Window) / steps
+	number := b.now().Sub(b.start).Milliseconds()/step + 1 // the time of day may jump
+	current := &b.slots[number%steps]
+	if current.number != number {
+		*current = slot{number: number}
 	}
-	return b.always.Allow()
+	return current
 }
--- a/cmd/wisteriadrum/main.go
+++ b/cmd/wisteriadrum/main.go
@@ -20,13 +20,14 @@
 )
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" help:"Run an instance."`
-	Check   checkCmd   `cmd:"" help:"Check a set, or settings, and list every fault."`
-	Publish publishCmd `cmd:"" help:"Check and publish a set."`
-	Stop    stopCmd    `cmd:"" help:"Plan the stop of an endpoint or instance, or end it."`
-	Status  statusCmd  `cmd:"" help:"Show what an instance knows."`
-	Demo    demoCmd    `cmd:"" help:"Run everything in one process on loopback and show the measures."`
-	Version versionCmd `cmd:"" help:"Show the version."`
+	Serve    serveCmd    `cmd:"" help:"Run an instance."`
+	Check    checkCmd    `cmd:"" help:"Check a set, or settings, and list every fault."`
+	Publish  publishCmd  `cmd:"" help:"Check and publish a set."`
+	Stop     stopCmd     `cmd:"" help:"Plan the stop of an endpoint or instance, or end it."`
+	Status   statusCmd   `cmd:"" help:"Show what an instance knows."`
+	Demo     demoCmd     `cmd:"" help:"Run everything in one process on loopback and show the measures."`
+	Platform platformCmd `cmd:"" help:"Run an instance on the platform, with the settings that the environment names."`
+	Version  versionCmd  `cmd:"" help:"Show the version."`
 }
 
 // failure is an error with the exit status of its kind.
--- /dev/null
+++ b/conductor/conductor.go
@@ -0,0 +1,276 @@
+// Package conductor wires the parts of an instance that relays callers'
+// requests and runs them.
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"wisteriadrum/acceptor"
+	"wisteriadrum/budgeter"
+	"wisteriadrum/counter"
+	"wisteriadrum/exposer"
+	"wisteriadrum/feeder"
+	"wisteriadrum/leaser"
+	"wisteriadrum/muter"
+	"wisteriadrum/pacer"
+	"wisteriadrum/pooler"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/registrar"
+	"wisteriadrum/relayer"
+	"wisteriadrum/roller"
+	"wisteriadrum/sharer"
+	"wisteriadrum/speaker"
+	"wisteriadrum/tabler"
+)
+
+const (
+	// balancerWait is the time in which a balancer that asks every second
+	// notices, by two answers, that an instance is not ready.
+	balancerWait = 3 * time.Second
+	// endMargin is kept before the end of the grace.
+	endMargin   = 700 * time.Millisecond
+	shareEvery  = time.Second
+	meetEvery   = 15 * time.Second
+	drainCheck  = 50 * time.Millisecond
+	lastAnswers = 50 * time.Millisecond
+	leaseKey    = "lease/orders"
+)
+
+// Options are the settings of an instance.
+type Options struct {
+	Name, DataCentre string
+	// Caller, Ready, Peer and Metrics are the addresses listened on. An empty
+	// Metrics is not opened.
+	Caller, Ready, Peer, Metrics string
+	// Retries bounds retries of all instances for each pool.
+	Retries budgeter.Rule
+	// Lease are the terms of the lease on orders.
+	Lease leaser.Terms
+	// Quiet is kept between orders of two holders, in milliseconds.
+	Quiet int
+	// Grace is the time from the signal to stop to the kill, in milliseconds.
+	Grace int
+}
+
+// Table is a followed table with what takes in its rows.
+type Table struct {
+	Name  string
+	Apply func(rows []feeder.Row, whole bool)
+}
+
+// Ports are the outside of an instance.
+type Ports struct {
+	Speaker speaker.Speaker
+	Engines roller.Engines
+	Source  feeder.Source
+	Rows    tabler.Table
+	// Put writes the row of this instance, and Peers reads those of all.
+	Put   func(ctx context.Context, key string, value []byte) error
+	Peers func(ctx context.Context) ([]feeder.Row, error)
+	// Tables are followed, the configuration's first.
+	Tables []Table
+	Dial   func(address string) (net.Conn, error)
+	// Steady is a clock that goes on while the process is frozen.
+	Steady func() time.Time
+}
+
+// Conductor is one instance.
+type Conductor struct {
+	options  Options
+	ports    Ports
+	beliefs  *registrar.Registrar
+	registry metrics.Registry
+	count    *counter.Counter
+	log      *zap.Logger
+	relay    *relayer.Relayer
+	accept   *acceptor.Acceptor
+	share    *sharer.Sharer
+	roll     *roller.Roller
+	feeders  []*feeder.Feeder
+	packets  net.PacketConn
+	stopping atomic.Bool
+}
+
+// New returns an instance with the beliefs that its tables write to.
+func New(options Options, ports Ports, beliefs *registrar.Registrar, count *counter.Counter, log *zap.Logger) (*Conductor, error) {
+	c := &Conductor{options: options, ports: ports, beliefs: beliefs, registry: count.Registry(), count: count, log: log}
+	packets, err := net.ListenPacket("udp4", options.Peer)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	c.packets = packets
+	ward := quarantiner.New()
+	for _, table := range ports.Tables {
+		c.feeders = append(c.feeders, feeder.New(ports.Source, table.Name, table.Apply, count, log))
+	}
+	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.Peer}
+	c.share = sharer.New(self, time.Now().UnixNano(), packets, beliefs, ward, count, log, time.Now, c.feeders[0].Again)
+	c.relay = relayer.New(relayer.Ports{
+		Speaker: ports.Speaker, Beliefs: beliefs, Pool: pooler.New(ports.Dial, time.Now), Ward: ward, Rule: options.Retries,
+		DataCentre: options.DataCentre, Keep: c.share.Keep, Alarm: c.share.Alarm, Count: count, Log: log, Now: time.Now,
+	})
+	c.accept = acceptor.New(ports.Speaker, beliefs, c.relay, count, log, time.Now)
+	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
+	lease := leaser.New(ports.Rows, leaseKey, holder, options.Lease, ports.Steady)
+	quiet := time.Duration(options.Quiet) * time.Millisecond
+	c.roll = roller.New(options.Name, beliefs, ports.Engines, lease, c.share, quiet, count, log, ports.Steady)
+	return c, nil
+}
+
+// Run serves until ctx ends, then finishes the requests under way within the
+// grace.
+func (c *Conductor) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", c.options.Caller)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp", c.options.Ready)
+	if err != nil {
+		return eris.Wrap(err, "listen for probes")
+	}
+	failed := make(chan error, 4)
+	go func() { failed <- c.accept.Serve(callers) }()
+	go func() { failed <- c.probes().Serve(ready) }()
+	go func() { failed <- c.share.Listen() }()
+	if c.options.Metrics != "" {
+		if err := c.expose(failed); err != nil {
+			return err
+		}
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, feed := range c.feeders {
+		go feed.Run(background)
+	}
+	go c.share.Run(background)
+	go c.roll.Run(background)
+	go c.meet(background)
+	go c.divide(background)
+	c.log.Info("instance serving", zap.String("name", c.options.Name), zap.String("caller", c.options.Caller))
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	c.drain(callers)
+	return nil
+}
+
+// Ready reports whether new connections should come here.
+func (c *Conductor) Ready() bool {
+	return !c.stopping.Load() && c.beliefs.Table() != nil && len(c.beliefs.Fleet().All()) > 0
+}
+
+func (c *Conductor) probes() *fasthttp.Server {
+	handle := func(ctx *fasthttp.RequestCtx) {
+		if !c.Ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("not ready\n")
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	}
+	return &fasthttp.Server{Handler: handle, NoDefaultServerHeader: true, Logger: muter.New()}
+}
+
+func (c *Conductor) expose(failed chan<- error) error {
+	listener, err := net.Listen("tcp", c.options.Metrics)
+	if err != nil {
+		return eris.Wrap(err, "listen for metrics")
+	}
+	server := &fasthttp.Server{Handler: exposer.New(c.registry).Handle, NoDefaultServerHeader: true, Logger: muter.New()}
+	go func() { failed <- server.Serve(listener) }()
+	return nil
+}
+
+// drain takes the instance out of service without cutting a request.
+func (c *Conductor) drain(callers net.Listener) {
+	grace := time.Duration(c.options.Grace)*time.Millisecond - endMargin
+	c.log.Info("instance stopping", zap.Int("busy", c.accept.Busy()))
+	c.stopping.Store(true)
+	c.accept.Leave()
+	limit, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	pacer.Wait(limit, min(balancerWait, grace/2))
+	_ = callers.Close() // nothing can be done about a listener that does not close
+	for c.accept.CloseIdle() > 0 && pacer.Wait(limit, drainCheck) {
+		continue
+	}
+	c.share.Leave()
+	time.Sleep(lastAnswers) // for what was written last to leave
+	c.log.Info("instance stopped", zap.Int("busy", c.accept.Busy()))
+}
+
+// peerRow is the row by which instances find each other.
+type peerRow struct {
+	Zone string `json:"zone"`
+	Addr string `json:"addr"`
+}
+
+// meet writes this instance's row and reads those of the others, soon after
+// the start and then now and then.
+func (c *Conductor) meet(ctx context.Context) {
+	value, err := json.Marshal(peerRow{Zone: c.options.DataCentre, Addr: c.options.Peer})
+	if err != nil {
+		c.log.Error("row of this instance not encoded", zap.Error(err))
+		return
+	}
+	written := false
+	pause := pacer.Jitter(200 * time.Millisecond)
+	for pacer.Wait(ctx, pause) {
+		pause = time.Second
+		if !written {
+			if err := c.ports.Put(ctx, "instance/"+c.options.Name, value); err != nil {
+				c.log.Warn("row of this instance not written", zap.Error(err))
+				continue
+			}
+			written = true
+		}
+		rows, err := c.ports.Peers(ctx)
+		if err != nil {
+			c.log.Warn("rows of the other instances not read", zap.Error(err))
+			continue
+		}
+		c.share.Meet(c.decode(rows))
+		pause = pacer.Jitter(meetEvery)
+	}
+}
+
+func (c *Conductor) decode(rows []feeder.Row) []sharer.Peer {
+	const prefix = "instance/"
+	var peers []sharer.Peer
+	for _, row := range rows {
+		if len(row.Key) <= len(prefix) || row.Key[:len(prefix)] != prefix {
+			continue
+		}
+		var decoded peerRow
+		err := json.Unmarshal(row.Value, &decoded)
+		if err == nil {
+			_, err = netip.ParseAddrPort(decoded.Addr)
+		}
+		if err != nil {
+			c.count.Add("rows", "malformed")
+			c.log.Warn("malformed row of an instance passed over", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		peers = append(peers, sharer.Peer{Name: row.Key[len(prefix):], DataCentre: decoded.Zone, Address: decoded.Addr})
+	}
+	return peers
+}
+
+// divide shares the budget of retries among the live instances.
+func (c *Conductor) divide(ctx context.Context) {
+	for pacer.Wait(ctx, shareEvery) {
+		c.relay.Share(len(c.share.Live()))
+	}
+}
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -213,7 +213,7 @@
 		_ = response.CloseBodyStream()
 		fasthttp.ReleaseResponse(response)
 		if whole && keep {
-			d.pool.Put(call.Address, conn)
+			d.pool.Put(call.Address, conn, time.Time{})
 		}
 	}
 	return answer
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -45,31 +45,39 @@
 // deadline of ctx or after five seconds. The error's verdict is judge.NotRun
 // when the server cannot have received the request.
 func (f *Fetcher) Do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	status, answer, err := f.Call(limit, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	switch status {
+	case fasthttp.StatusOK:
+		return answer, nil
+	case fasthttp.StatusNotFound:
+		return nil, eris.Wrapf(ErrNotFound, "%s %s", method, path)
+	default:
+		return nil, refuser.New(refuser.ClaimFailed, judge.MayHaveRun, "platform answered %d to %s %s", status, method, path)
+	}
+}
+
+// Call sends one request and returns the status and body of its answer. It
+// ends at the deadline of ctx, which must have one.
+func (f *Fetcher) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + f.address + path)
-	request.SetBody(body)
-	deadline := time.Now().Add(callTimeout)
-	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
-		deadline = limit
+	if body != nil {
+		request.SetBody(body)
+		request.Header.SetContentType("application/json")
 	}
+	deadline, _ := ctx.Deadline()
 	if err := f.client.DoDeadline(request, response, deadline); err != nil {
-		return nil, f.failure(err)
-	}
-	return f.read(method, path, response)
-}
-
-func (f *Fetcher) read(method, path string, response *fasthttp.Response) ([]byte, error) {
-	switch status := response.StatusCode(); status {
-	case fasthttp.StatusOK:
-		return append([]byte(nil), response.Body()...), nil
-	case fasthttp.StatusNotFound:
-		return nil, eris.Wrapf(ErrNotFound, "%s %s", method, path)
-	default:
-		return nil, refuser.New(refuser.ClaimFailed, judge.MayHaveRun, "platform answered %d to %s %s", status, method, path)
+		return 0, nil, f.failure(err)
 	}
+	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
 }
 
 func (f *Fetcher) failure(err error) error {
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,51 +12,71 @@
 	"wisteriadrum/tabler"
 )
 
-const (
-	// length is how long a lease lasts unless it is renewed.
-	length = 10 * time.Second
-	// margin is kept clear at its end by the holder, and after its end by
-	// others, against clocks that differ and calls that take long.
-	margin = 3 * time.Second
-)
-
 // ErrHeld is returned while another holds the lease.
 var ErrHeld = eris.New("the lease is held by another")
 
+// Terms are the lengths of a lease, in milliseconds.
+type Terms struct {
+	// Length is how long a lease lasts unless it is renewed.
+	Length int
+	// Margin is kept clear at its end by the holder, and after its end by
+	// others, against calls that take long.
+	Margin int
+}
+
+// Default is the terms of the product's own interface.
+func Default() Terms { return Terms{Length: 10000, Margin: 3000} }
+
+func (t Terms) length() time.Duration { return time.Duration(t.Length) * time.Millisecond }
+func (t Terms) margin() time.Duration { return time.Duration(t.Margin) * time.Millisecond }
+
 // Lease is the right to give orders until Until by this process's clock.
 type Lease struct {
 	Fence uint64
+	// Since is when this holder got the lease from another, zero if it had no
+	// other holder before.
+	Since time.Time
 	Until time.Time
 }
 
 // Valid reports whether the holder may still act at now.
 func (l Lease) Valid(now time.Time) bool { return now.Before(l.Until) }
 
-// Leaser takes and renews one lease for one holder.
+// Leaser takes and renews one lease for one holder. Times are those of its
+// own clock only, which must go on while the process is frozen: another's
+// lease has ended when its row was seen unchanged for so long.
 type Leaser struct {
 	table  tabler.Table
 	key    string
 	holder string
+	terms  Terms
 	now    func() time.Time
+
+	mu     sync.Mutex
+	seen   uint64
+	seenAt time.Time
+	since  time.Time
 }
 
-// row is the value of the lease's row.
+// row is the value of the lease's row. Count rises with each renewal.
 type row struct {
-	Holder string    `json:"holder"`
-	Fence  uint64    `json:"fence"`
-	Until  time.Time `json:"until"`
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+	Count  uint64 `json:"count"`
 }
 
 // New returns a leaser of the lease in the row key. The holder's name must be
 // new with each start, so that a process never renews an earlier one's lease.
-func New(table tabler.Table, key, holder string, now func() time.Time) *Leaser {
-	return &Leaser{table: table, key: key, holder: holder, now: now}
+func New(table tabler.Table, key, holder string, terms Terms, now func() time.Time) *Leaser {
+	return &Leaser{table: table, key: key, holder: holder, terms: terms, now: now}
 }
 
 // Take takes the lease or renews it. A lease that changes hands gets a higher
 // fencing number. The error is ErrHeld, or the table's; after that the lease
 // may have been taken, and the next call finds out.
 func (l *Leaser) Take(ctx context.Context) (Lease, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	begun := l.now() // the time of the answer would be too late
 	rows, err := l.table.Get(ctx, l.key)
 	if err != nil {
@@ -67,12 +88,19 @@
 			return Lease{}, eris.Wrap(err, "decode the lease")
 		}
 	}
-	next := row{Holder: l.holder, Fence: old.Fence, Until: begun.Add(length)}
+	if rows[0].Version != l.seen {
+		l.seen, l.seenAt = rows[0].Version, l.now()
+	}
+	next := row{Holder: l.holder, Fence: old.Fence, Count: old.Count + 1}
 	if old.Holder != l.holder {
-		if old.Holder != "" && begun.Before(old.Until.Add(margin)) {
+		if old.Holder != "" && begun.Before(l.seenAt.Add(l.terms.length()+l.terms.margin())) {
 			return Lease{}, ErrHeld
 		}
 		next.Fence++
+		l.since = time.Time{}
+		if old.Holder != "" {
+			l.since = begun
+		}
 	}
 	return l.write(ctx, next, rows[0].Version, begun)
 }
@@ -89,5 +117,5 @@
 	if len(conflicts) > 0 {
 		return Lease{}, ErrHeld
 	}
-	return Lease{Fence: next.Fence, Until: begun.Add(length - margin)}, nil
+	return Lease{Fence: next.Fence, Since: l.since, Until: begun.Add(l.terms.length() - l.terms.margin())}, nil
 }
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -18,7 +18,7 @@
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
 	shared := storekeeper.New(clock).Table()
-	first, second := leaser.New(shared, "lease", "one", clock), leaser.New(shared, "lease", "two", clock)
+	first, second := leaser.New(shared, "lease", "one", leaser.Default(), clock), leaser.New(shared, "lease", "two", leaser.Default(), clock)
 	old, err := first.Take(t.Context())
 	assert.NilError(t, err)
 	assert.Assert(t, old.Valid(now))
@@ -33,8 +33,11 @@
 	now = now.Add(11 * time.Second) // frozen meanwhile
 	assert.Assert(t, !renewed.Valid(now))
 	_, err = second.Take(t.Context())
-	assert.ErrorIs(t, err, leaser.ErrHeld, "clocks may differ by the margin")
-	now = now.Add(3 * time.Second)
+	assert.ErrorIs(t, err, leaser.ErrHeld, "the renewal is seen for the first time")
+	now = now.Add(12 * time.Second)
+	_, err = second.Take(t.Context())
+	assert.ErrorIs(t, err, leaser.ErrHeld, "the margin is kept clear")
+	now = now.Add(time.Second)
 	next, err := second.Take(t.Context())
 	assert.NilError(t, err)
 	assert.Assert(t, next.Fence > renewed.Fence)
--- /dev/null
+++ b/monitor/monitor.go
@@ -0,0 +1,281 @@
+// Package monitor keeps what an instance knows of one endpoint: its entry, the
+// load that this and other instances put on it, how it answered, and which
+// parts of prompts it keeps.
+package monitor
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"wisteriadrum/router"
+)
+
+const (
+	// shunFirst and shunMost bound the time for which an endpoint is left
+	// after failures; it doubles with each in a row.
+	shunFirst = 250 * time.Millisecond
+	shunMost  = 4 * time.Second
+	// peerStale is the age at which a peer's word on load is dropped: ten of
+	// its shortest intervals.
+	peerStale = time.Second
+	// scaleHalf is the time in which half of what was learned of an endpoint's
+	// pace is forgotten.
+	scaleHalf = 3 * time.Second
+	// scalePrior is the weight of the neutral pace 1, in predicted milliseconds.
+	scalePrior = 200.0
+	// keptShare is the share of an engine's memory taken to hold kept parts.
+	keptShare = 0.8
+)
+
+// Entry is what the list of endpoints says of one.
+type Entry struct {
+	Name, Address, Pool, DataCentre string
+	// Born distinguishes the incarnations of an endpoint.
+	Born int64
+	// Slots is the most requests that run at once.
+	Slots int
+	// Leaving reports that the endpoint is about to leave.
+	Leaving bool
+	// Weights are the versions of models by name.
+	Weights map[string]int
+}
+
+// Load is work in flight at an endpoint.
+type Load struct {
+	// Requests is the number of requests.
+	Requests int
+	// Unread is the number of prompt tokens that are still to be read.
+	Unread int
+	// Memory is the number of tokens held by the requests.
+	Memory int
+}
+
+// Add returns the sum of l and other.
+func (l Load) Add(other Load) Load {
+	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Memory: l.Memory + other.Memory}
+}
+
+type peerLoad struct {
+	load    Load
+	staleBy time.Time
+}
+
+// Monitor holds what is known of one incarnation of an endpoint.
+type Monitor struct {
+	Key uint64
+
+	mu       sync.Mutex
+	entry    Entry
+	engine   *router.Engine
+	own      Load
+	peers    map[string]peerLoad
+	kept     *shelf
+	weights  map[string]int
+	loadBy   time.Time
+	shunBy   time.Time
+	leaveBy  time.Time
+	failures int
+	actual   float64
+	expected float64
+	learned  time.Time
+}
+
+// New returns a monitor of an endpoint; engine is nil for plain services.
+func New(key uint64, entry Entry, engine *router.Engine) *Monitor {
+	m := &Monitor{Key: key, peers: map[string]peerLoad{}, weights: map[string]int{}}
+	m.Update(entry, engine)
+	return m
+}
+
+// Update takes in a newer entry.
+func (m *Monitor) Update(entry Entry, engine *router.Engine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entry, m.engine = entry, engine
+	for model, version := range entry.Weights {
+		m.setWeights(model, version)
+	}
+	if m.kept == nil && engine != nil {
+		m.kept = newShelf(int(float64(engine.Capacity) * keptShare))
+	}
+}
+
+// Entry returns the last entry.
+func (m *Monitor) Entry() Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry
+}
+
+// Begin counts work of this instance.
+func (m *Monitor) Begin(load Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own = m.own.Add(load)
+}
+
+// End takes back work that Begin counted.
+func (m *Monitor) End(load Load) {
+	m.Begin(Load{Requests: -load.Requests, Unread: -load.Unread, Memory: -load.Memory})
+}
+
+// Own returns the work of this instance.
+func (m *Monitor) Own() Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own
+}
+
+// Told takes in the work of another instance.
+func (m *Monitor) Told(peer string, load Load, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if load == (Load{}) {
+		delete(m.peers, peer)
+		return
+	}
+	m.peers[peer] = peerLoad{load: load, staleBy: now.Add(peerStale)}
+}
+
+// Keep notes that the endpoint holds a part.
+func (m *Monitor) Keep(part uint64, tokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept != nil {
+		m.kept.put(part, tokens)
+	}
+}
+
+// Forget notes that the endpoint does not hold a part.
+func (m *Monitor) Forget(part uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept != nil {
+		m.kept.remove(part)
+	}
+}
+
+// Keeps reports whether the endpoint is believed to hold a part.
+func (m *Monitor) Keeps(part uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kept != nil && m.kept.has(part)
+}
+
+// Leave notes that the endpoint leaves and must get nothing from by on. An
+// earlier note stands.
+func (m *Monitor) Leave(by time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaveBy.IsZero() {
+		m.leaveBy = by
+	}
+}
+
+// Stay takes back Leave, for an endpoint that is listed again.
+func (m *Monitor) Stay() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaveBy = time.Time{}
+}
+
+// Left reports whether the endpoint must get nothing at now.
+func (m *Monitor) Left(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.leaveBy.IsZero() && !now.Before(m.leaveBy)
+}
+
+// SetWeights notes the version of a model that the endpoint serves.
+func (m *Monitor) SetWeights(model string, version int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setWeights(model, version)
+}
+
+// setWeights keeps the highest version: versions only rise.
+func (m *Monitor) setWeights(model string, version int) {
+	if version <= m.weights[model] {
+		return
+	}
+	m.weights[model] = version
+	m.loadBy = time.Time{}
+}
+
+// Weights returns the version of model that the endpoint serves, 0 if unknown.
+func (m *Monitor) Weights(model string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.weights[model]
+}
+
+// Loading notes that the endpoint loads weights, at the longest until by.
+func (m *Monitor) Loading(by time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loadBy = by
+}
+
+// Answered takes in the time in milliseconds until an answer began and the
+// time that had been predicted for it.
+func (m *Monitor) Answered(actual, expected float64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failures, m.shunBy = 0, time.Time{}
+	m.decay(now)
+	m.actual += actual
+	m.expected += expected
+}
+
+// Failed notes a failure and leaves the endpoint for a while.
+func (m *Monitor) Failed(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failures++
+	pause := min(shunFirst<<min(m.failures-1, 8), shunMost)
+	m.shunBy = now.Add(pause)
+}
+
+// View is what a choice needs to know of an endpoint.
+type View struct {
+	Entry   Entry
+	Engine  *router.Engine
+	Load    Load
+	Weights int
+	// Shunned reports failures of late, Loading that weights are loaded,
+	// Leaving that the endpoint is about to leave, and Left that it has.
+	Shunned, Loading, Leaving, Left bool
+	// Scale is the ratio of the endpoint's times to those predicted.
+	Scale float64
+}
+
+// View returns what is known at now for a request to model.
+func (m *Monitor) View(model string, now time.Time) View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decay(now)
+	load := m.own
+	for peer, told := range m.peers {
+		if told.staleBy.Before(now) {
+			delete(m.peers, peer)
+			continue
+		}
+		load = load.Add(told.load)
+	}
+	return View{
+		Entry: m.entry, Engine: m.engine, Load: load, Weights: m.weights[model],
+		Shunned: m.shunBy.After(now), Loading: m.loadBy.After(now),
+		Leaving: !m.leaveBy.IsZero(), Left: !m.leaveBy.IsZero() && !now.Before(m.leaveBy),
+		Scale: (m.actual + scalePrior) / (m.expected + scalePrior),
+	}
+}
+
+func (m *Monitor) decay(now time.Time) {
+	if !m.learned.IsZero() {
+		left := math.Exp2(-float64(now.Sub(m.learned)) / float64(scaleHalf))
+		m.actual *= left
+		m.expected *= left
+	}
+	m.learned = now
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriadrum/decoder"
+	"wisteriadrum/exposer"
 	"wisteriadrum/follower"
 	"wisteriadrum/messenger"
 	"wisteriadrum/muter"
@@ -83,7 +83,7 @@
 	case "/readyz":
 		o.ready(ctx)
 	case "/metrics":
-		o.prometheus(ctx)
+		exposer.New(o.registry).Handle(ctx)
 	case "/metrics.json":
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(o.registry, ctx)
@@ -182,29 +182,6 @@
 	ctx.SetBodyString("{}\n")
 }
 
-// prometheus writes the metrics in the Prometheus text format.
-func (o *operator) prometheus(ctx *fasthttp.RequestCtx) {
-	ctx.SetContentType("text/plain; version=0.0.4")
-	var lines []string
-	o.registry.Each(func(name string, metric any) {
-		group, reason, _ := strings.Cut(name, ".")
-		switch metric := metric.(type) {
-		case metrics.Counter:
-			lines = append(lines, fmt.Sprintf("wisteriadrum_%s_total{reason=%q} %d", plain(group), reason, metric.Count()))
-		case metrics.Gauge:
-			lines = append(lines, fmt.Sprintf("wisteriadrum_%s %d", plain(name), metric.Value()))
-		case metrics.Histogram:
-			for _, quantile := range []float64{0.5, 0.95, 0.99} {
-				lines = append(lines, fmt.Sprintf("wisteriadrum_%s{quantile=\"%g\"} %g", plain(name), quantile, metric.Percentile(quantile)))
-			}
-		}
-	})
-	sort.Strings(lines)
-	ctx.SetBodyString(strings.Join(lines, "\n") + "\n")
-}
-
-func plain(name string) string { return strings.NewReplacer(".", "_", "-", "_").Replace(name) }
-
 func reply(ctx *fasthttp.RequestCtx, value any) {
 	ctx.SetContentType("application/json")
 	_ = json.NewEncoder(ctx).Encode(value) // writes to memory
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,172 @@
+// Package placer decides which endpoint gets a request. Decisions are pure:
+// what is known comes in, a place with the reasons for it comes out.
+//
+// It answers the load of many long prompts that share their beginnings: the
+// time until an answer begins is the sum of what an engine has still to read
+// for others, of what it must read for this request, and of the wait for room
+// in its batch and memory.
+package placer
+
+import "wisteriadrum/monitor"
+
+// Figures of the prediction. The pace of each endpoint is learned as a factor
+// on them, so that they need to be right only in proportion.
+const (
+	// baseMillis is the time of an idle engine until a short prompt's first token.
+	baseMillis = 30.0
+	// tokensPerMilli is the rate at which prompts are read.
+	tokensPerMilli = 50.0
+	// requestMillis is what a running request adds to the wait of others.
+	requestMillis = 0.6
+	// slotMillis is the wait for a place in a full batch, for each request ahead.
+	slotMillis = 25.0
+	// memoryMillis is the wait for memory, for the whole of an engine's memory.
+	memoryMillis = 4000.0
+	// memoryFull is the share of memory above which engines preempt.
+	memoryFull = 0.85
+	// serviceMillis is the time of a plain service for one request.
+	serviceMillis = 20.0
+	// crossMillis is the cost of leaving the data centre: about the round trip,
+	// and the price of bytes between data centres.
+	crossMillis = 3.0
+	// crossTransfer is how much slower a transfer between data centres is.
+	crossTransfer = 2.0
+	// shunMillis is the penalty of an endpoint that failed of late.
+	shunMillis = 10000.0
+	// leaveMillis is the penalty of an endpoint that is about to leave.
+	leaveMillis = 20000.0
+	// oldMillis is the penalty of weights that are not the newest.
+	oldMillis = 400.0
+	// loadMillis is the penalty of an endpoint that is loading weights and
+	// refuses what has not started.
+	loadMillis = 5000.0
+)
+
+// Need is what a request asks of an endpoint.
+type Need struct {
+	// Prompt and Output are in tokens; both are 0 for plain services.
+	Prompt, Output int
+	// DataCentre is where the request came in.
+	DataCentre string
+	// Newest is the newest version of its model.
+	Newest int
+}
+
+// Candidate is an endpoint that may be chosen.
+type Candidate struct {
+	View monitor.View
+	// Kept is the number of prompt tokens that the endpoint keeps.
+	Kept int
+	// Barred excludes the endpoint, such as one tried before.
+	Barred bool
+}
+
+// Source is a place from which kept parts can be fetched.
+type Source struct {
+	// Place is the index of the candidate that keeps the parts, -1 for none.
+	Place int
+	Kept  int
+}
+
+// Choice is a place with what is expected of it.
+type Choice struct {
+	// Place is the index of the candidate, -1 if there is none.
+	Place int
+	// Fetch is the index of the candidate to fetch parts from, or -1.
+	Fetch int
+	// Millis is the predicted time until the answer begins.
+	Millis float64
+	// Neutral is Millis at the neutral pace, from which the pace is learned.
+	Neutral float64
+	// Unread is the number of tokens that must be read.
+	Unread int
+	// Cost is what places are compared by: Millis with penalties.
+	Cost float64
+}
+
+// Choose returns the place of least cost, and with it where parts are fetched.
+func Choose(need Need, candidates []Candidate) Choice {
+	source := richest(candidates)
+	best := Choice{Place: -1, Fetch: -1}
+	for place, candidate := range candidates {
+		if candidate.Barred || candidate.View.Left {
+			continue
+		}
+		choice := weigh(need, candidates, place, source)
+		if best.Place < 0 || choice.Cost < best.Cost {
+			best = choice
+		}
+	}
+	return best
+}
+
+// richest returns the candidate that keeps most of the prompt.
+func richest(candidates []Candidate) Source {
+	source := Source{Place: -1}
+	for place, candidate := range candidates {
+		if candidate.Kept > source.Kept && !candidate.View.Shunned && !candidate.View.Loading && !candidate.View.Left {
+			source = Source{Place: place, Kept: candidate.Kept}
+		}
+	}
+	return source
+}
+
+func weigh(need Need, candidates []Candidate, place int, source Source) Choice {
+	view := candidates[place].View
+	choice := Choice{Place: place, Fetch: -1}
+	if view.Engine == nil {
+		choice.Neutral = serviceMillis * (1 + float64(max(0, view.Load.Requests+1-view.Entry.Slots)))
+		choice.Millis = choice.Neutral * view.Scale
+		choice.Cost = choice.Millis + float64(view.Load.Requests) + penalties(need, view)
+		return choice
+	}
+	choice.Unread = max(need.Prompt-candidates[place].Kept, 1)
+	fetch := 0.0
+	gain := source.Kept - candidates[place].Kept
+	if source.Place >= 0 && gain > 0 && candidates[source.Place].View.Weights == view.Weights {
+		fetch = view.Engine.TransferMillis(gain)
+		if candidates[source.Place].View.Entry.DataCentre != view.Entry.DataCentre {
+			fetch *= crossTransfer
+		}
+		if fetch < float64(gain)/tokensPerMilli*view.Scale {
+			choice.Fetch = source.Place
+			choice.Unread = max(need.Prompt-source.Kept, 1)
+		} else {
+			fetch = 0
+		}
+	}
+	choice.Neutral = baseMillis + float64(view.Load.Unread+choice.Unread)/tokensPerMilli + requestMillis*float64(view.Load.Requests)
+	choice.Millis = choice.Neutral*view.Scale + fetch + room(need, view)
+	choice.Cost = choice.Millis + penalties(need, view)
+	return choice
+}
+
+// room returns the wait for a place in the batch and for memory.
+func room(need Need, view monitor.View) float64 {
+	wait := slotMillis * float64(max(0, view.Load.Requests+1-view.Engine.Slots))
+	full := float64(view.Load.Memory+need.Prompt+need.Output) / float64(max(view.Engine.Capacity, 1))
+	if full > memoryFull {
+		wait += (full - memoryFull) * memoryMillis
+	}
+	return wait
+}
+
+func penalties(need Need, view monitor.View) float64 {
+	cost := 0.0
+	if view.Entry.DataCentre != need.DataCentre {
+		cost += crossMillis
+	}
+	if view.Shunned {
+		cost += shunMillis
+	}
+	if view.Leaving {
+		cost += leaveMillis
+	}
+	if view.Loading {
+		cost += loadMillis
+	}
+	if view.Weights < need.Newest {
+		cost += oldMillis
+	}
+	return cost
+}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -50,10 +50,14 @@
 	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
 }
 
-// Put keeps conn for reuse. Nothing may be unread on it.
-func (p *Pool) Put(address string, conn *Conn) {
+// Put keeps conn for reuse until the pool's own limit or closeBy, unless that
+// is zero. Nothing may be unread on it.
+func (p *Pool) Put(address string, conn *Conn, closeBy time.Time) {
 	conn.Reused = true
 	conn.closeBy = p.now().Add(idleTimeout)
+	if !closeBy.IsZero() && closeBy.Before(conn.closeBy) {
+		conn.closeBy = closeBy
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdle || conn.Reader.Buffered() > 0 {
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -37,6 +37,7 @@
 	Timeout       Code = "timeout"
 	CallerGone    Code = "caller-gone"
 	Rejected      Code = "rejected"
+	SlowRequest   Code = "slow-request"
 	Internal      Code = "internal"
 )
 
@@ -47,7 +48,7 @@
 	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503,
 	UpstreamLost: 502, UpstreamBusy: 503, WrongWeights: 503,
 	AnswerCrossed: 502, AnswerLost: 502, Timeout: 504, CallerGone: 499,
-	Rejected: 400, Internal: 500,
+	Rejected: 400, SlowRequest: 408, Internal: 500,
 }
 
 // Codes returns every code.
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,176 @@
+// Package registrar is the blackboard of what an instance believes: the
+// configuration in force, the endpoints, and the versions of weights.
+package registrar
+
+import (
+	"maps"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriadrum/holder"
+	"wisteriadrum/monitor"
+	"wisteriadrum/router"
+)
+
+// forgetAfter is how long an endpoint that has left is remembered, so that its
+// last answers are still counted.
+const forgetAfter = 10 * time.Second
+
+// Named is the newest version of a model's weights, with when it was heard of.
+type Named struct {
+	Version int
+	Since   time.Time
+}
+
+// Fleet is the endpoints at one moment. It must not be changed.
+type Fleet struct {
+	byName map[string]*monitor.Monitor
+	byKey  map[uint64]*monitor.Monitor
+	pools  map[string][]*monitor.Monitor
+}
+
+// Pool returns the endpoints of a pool.
+func (f *Fleet) Pool(name string) []*monitor.Monitor {
+	if f == nil {
+		return nil
+	}
+	return f.pools[name]
+}
+
+// Key returns the endpoint with a key, or nil.
+func (f *Fleet) Key(key uint64) *monitor.Monitor {
+	if f == nil {
+		return nil
+	}
+	return f.byKey[key]
+}
+
+// All returns the endpoints by name.
+func (f *Fleet) All() map[string]*monitor.Monitor {
+	if f == nil {
+		return nil
+	}
+	return f.byName
+}
+
+// Registrar holds the sections of the blackboard.
+type Registrar struct {
+	table   holder.Section[*router.Table]
+	fleet   holder.Section[*Fleet]
+	weights holder.Section[map[string]Named]
+}
+
+// New returns an empty registrar.
+func New() *Registrar { return &Registrar{} }
+
+// Table returns the configuration in force, nil before the first.
+func (r *Registrar) Table() *router.Table { return r.table.Load() }
+
+// Fleet returns the endpoints.
+func (r *Registrar) Fleet() *Fleet { return r.fleet.Load() }
+
+// Newest returns the newest version of a model, 0 if none was heard of.
+func (r *Registrar) Newest(model string) Named { return r.weights.Load()[model] }
+
+// Weights returns the newest versions by model.
+func (r *Registrar) Weights() map[string]Named { return r.weights.Load() }
+
+// PutTable takes in a configuration unless a newer one is in force, and
+// reports whether it did.
+func (r *Registrar) PutTable(table *router.Table) bool {
+	put := false
+	r.table.Update(func(old *router.Table) *router.Table {
+		if old != nil && old.Version >= table.Version {
+			return old
+		}
+		put = true
+		return table
+	})
+	if put {
+		r.fleet.Update(func(old *Fleet) *Fleet { return r.rebuilt(old.All()) })
+	}
+	return put
+}
+
+// PutWeights takes in a version of a model's weights and reports whether it
+// is the newest.
+func (r *Registrar) PutWeights(model string, version int, now time.Time) bool {
+	put := false
+	r.weights.Update(func(old map[string]Named) map[string]Named {
+		if old[model].Version >= version {
+			return old
+		}
+		put = true
+		next := maps.Clone(old)
+		if next == nil {
+			next = map[string]Named{}
+		}
+		next[model] = Named{Version: version, Since: now}
+		return next
+	})
+	return put
+}
+
+// PutEndpoints takes in changed entries and the names of those that ended.
+// An endpoint that leaves or has ended is a last resort until leaveBy, since
+// entries also lapse while their endpoints live, and gets nothing after it.
+func (r *Registrar) PutEndpoints(entries []monitor.Entry, gone []string, now, leaveBy time.Time) {
+	r.fleet.Update(func(old *Fleet) *Fleet {
+		byName := maps.Clone(old.All())
+		if byName == nil {
+			byName = map[string]*monitor.Monitor{}
+		}
+		for name, one := range byName {
+			if one.Left(now.Add(-forgetAfter)) {
+				delete(byName, name)
+			}
+		}
+		for _, name := range gone {
+			if known := byName[name]; known != nil {
+				known.Leave(leaveBy)
+			}
+		}
+		for _, entry := range entries {
+			known := byName[entry.Name]
+			if known != nil && known.Entry().Born == entry.Born && known.Entry().Address == entry.Address {
+				known.Update(entry, r.engine(entry.Pool))
+			} else {
+				known = monitor.New(key(entry), entry, r.engine(entry.Pool))
+				byName[entry.Name] = known
+			}
+			if entry.Leaving {
+				known.Leave(leaveBy)
+			} else {
+				known.Stay()
+			}
+		}
+		return r.rebuilt(byName)
+	})
+}
+
+// rebuilt returns a fleet of monitors with the engines of the table in force.
+func (r *Registrar) rebuilt(byName map[string]*monitor.Monitor) *Fleet {
+	fleet := &Fleet{byName: byName, byKey: map[uint64]*monitor.Monitor{}, pools: map[string][]*monitor.Monitor{}}
+	for _, one := range byName {
+		entry := one.Entry()
+		one.Update(entry, r.engine(entry.Pool))
+		fleet.byKey[one.Key] = one
+		fleet.pools[entry.Pool] = append(fleet.pools[entry.Pool], one)
+	}
+	return fleet
+}
+
+func (r *Registrar) engine(pool string) *router.Engine {
+	table := r.table.Load()
+	if table == nil {
+		return nil
+	}
+	return table.Pools[pool].Engine
+}
+
+// key names an incarnation of an endpoint in messages between instances.
+func key(entry monitor.Entry) uint64 {
+	return xxhash.Sum64String(entry.Name + "\x00" + entry.Address + "\x00" + strconv.FormatInt(entry.Born, 10))
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,299 @@
+// Package relayer brings requests to endpoints and their answers back to the
+// callers. It decides what may be sent again, and what a caller is told when
+// nothing more can be done.
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/budgeter"
+	"wisteriadrum/counter"
+	"wisteriadrum/framer"
+	"wisteriadrum/judge"
+	"wisteriadrum/monitor"
+	"wisteriadrum/placer"
+	"wisteriadrum/pooler"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/refuser"
+	"wisteriadrum/registrar"
+	"wisteriadrum/requester"
+	"wisteriadrum/responder"
+	"wisteriadrum/speaker"
+)
+
+const (
+	// mostSends bounds how often a request is sent that endpoints refuse
+	// without running it.
+	mostSends = 4
+	// sendMargin is kept for the answer's way back to the caller.
+	sendMargin = 10 * time.Millisecond
+	// retryAfter is when a caller may come back if nothing better is known:
+	// about the time in which the list of endpoints follows a change.
+	retryAfter = time.Second
+)
+
+// Relayer relays requests.
+type Relayer struct {
+	speaker    speaker.Speaker
+	beliefs    *registrar.Registrar
+	pool       *pooler.Pool
+	ward       *quarantiner.Ward
+	rule       budgeter.Rule
+	dataCentre string
+	keep       func(place *monitor.Monitor, part uint64, tokens int)
+	alarm      func(quarantiner.Case)
+	count      *counter.Counter
+	log        *zap.Logger
+	now        func() time.Time
+
+	mu      sync.Mutex
+	budgets map[string]*budgeter.Budget
+	share   int
+}
+
+// Ports are what a relayer works with.
+type Ports struct {
+	Speaker speaker.Speaker
+	Beliefs *registrar.Registrar
+	Pool    *pooler.Pool
+	Ward    *quarantiner.Ward
+	// Rule bounds the retries for each pool.
+	Rule budgeter.Rule
+	// DataCentre is the one of this instance.
+	DataCentre string
+	// Keep tells the other instances that an endpoint keeps a part.
+	Keep func(place *monitor.Monitor, part uint64, tokens int)
+	// Alarm tells the other instances of a request that crashed an endpoint.
+	Alarm func(quarantiner.Case)
+	Count *counter.Counter
+	Log   *zap.Logger
+	Now   func() time.Time
+}
+
+// New returns a relayer.
+func New(ports Ports) *Relayer {
+	return &Relayer{
+		speaker: ports.Speaker, beliefs: ports.Beliefs, pool: ports.Pool, ward: ports.Ward, rule: ports.Rule,
+		dataCentre: ports.DataCentre, keep: ports.Keep, alarm: ports.Alarm,
+		count: ports.Count, log: ports.Log, now: ports.Now,
+		budgets: map[string]*budgeter.Budget{}, share: 1,
+	}
+}
+
+// Share divides the budgets of retries among so many instances.
+func (r *Relayer) Share(instances int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share = instances
+	for _, budget := range r.budgets {
+		budget.Share(instances)
+	}
+}
+
+func (r *Relayer) budget(pool string) *budgeter.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget := r.budgets[pool]
+	if budget == nil {
+		budget = budgeter.New(r.rule, r.now)
+		budget.Share(r.share)
+		r.budgets[pool] = budget
+	}
+	return budget
+}
+
+// course is the state of one request.
+type course struct {
+	request *requester.Request
+	answer  *responder.Responder
+	ends    time.Time
+	tried   []*monitor.Monitor
+	// sends counts all sends, runs those after which it may have run.
+	sends, runs int
+	// last is the last event that was passed on.
+	last   string
+	choice placer.Choice
+	// place is the endpoint of the choice, source the one to fetch parts from.
+	place, source *monitor.Monitor
+}
+
+// Run answers request through answer. It returns the refusal with which the
+// request ended, or nil after a whole answer. ctx ends when the caller leaves.
+func (r *Relayer) Run(ctx context.Context, request *requester.Request, answer *responder.Responder) *refuser.Refusal {
+	c := &course{request: request, answer: answer, ends: request.EndsBy(), last: request.LastEvent}
+	r.budget(request.Pool.Name).Earn()
+	refusal := r.course(ctx, c)
+	r.record(c, refusal)
+	return refusal
+}
+
+func (r *Relayer) course(ctx context.Context, c *course) *refuser.Refusal {
+	ran := judge.NotRun
+	var cause *refuser.Refusal
+	for {
+		if refusal := r.next(ctx, c, ran); refusal != nil {
+			if cause != nil && refusal.Code == refuser.NoEndpoint {
+				refusal = cause.WithRetryAt(refusal.RetryAt)
+			}
+			return refusal.WithVerdict(max(ran, refusal.Ran))
+		}
+		cause = r.attempt(ctx, c)
+		if cause == nil {
+			return nil
+		}
+		ran = max(ran, cause.Ran)
+		if cause.Ran != judge.NotRun {
+			c.runs++
+		}
+		if !r.again(ctx, c, cause) {
+			return cause.WithVerdict(ran)
+		}
+		r.count.Add("retry", string(cause.Code))
+	}
+}
+
+// next finds the place of the next attempt.
+func (r *Relayer) next(ctx context.Context, c *course, ran judge.Verdict) *refuser.Refusal {
+	now := r.now()
+	if ctx.Err() != nil {
+		return refuser.New(refuser.CallerGone, ran, "the caller left")
+	}
+	if !now.Add(sendMargin).Before(c.ends) {
+		return refuser.New(refuser.Timeout, ran, "no time is left")
+	}
+	if refusal := r.recheck(c.request); refusal != nil {
+		return refusal
+	}
+	suspect, known := r.ward.Find(c.request.Fingerprint, now)
+	if known && suspect.Refused() {
+		return refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints", len(suspect.Losses)).WithRetryAt(suspect.Until)
+	}
+	return r.place(c, now)
+}
+
+// recheck looks the request up again if the configuration has changed since.
+func (r *Relayer) recheck(request *requester.Request) *refuser.Refusal {
+	table := r.beliefs.Table()
+	if table != nil && table.Version == request.Table {
+		return nil
+	}
+	return Identify(request, table)
+}
+
+// place chooses an endpoint.
+func (r *Relayer) place(c *course, now time.Time) *refuser.Refusal {
+	request := c.request
+	monitors := r.beliefs.Fleet().Pool(request.Pool.Name)
+	need := placer.Need{Prompt: request.Prompt, Output: request.Output, DataCentre: r.dataCentre}
+	if request.Model != "" {
+		need.Newest = r.beliefs.Newest(request.Model).Version
+	}
+	candidates := make([]placer.Candidate, len(monitors))
+	for i, one := range monitors {
+		view := one.View(request.Model, now)
+		candidates[i] = placer.Candidate{View: view, Kept: keptTokens(one, request, view.Weights), Barred: c.has(one)}
+	}
+	offset := 0
+	if len(candidates) > 0 {
+		offset = rand.IntN(len(candidates)) // equal costs go to different places
+	}
+	candidates = slices.Concat(candidates[offset:], candidates[:offset])
+	choice := placer.Choose(need, candidates)
+	if choice.Place < 0 {
+		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is left", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
+	}
+	at := func(place int) *monitor.Monitor { return monitors[(place+offset)%len(monitors)] }
+	c.choice, c.place, c.source = choice, at(choice.Place), nil
+	if choice.Fetch >= 0 {
+		c.source = at(choice.Fetch)
+	}
+	return nil
+}
+
+// keptTokens returns how much of the prompt's beginning the endpoint keeps.
+func keptTokens(one *monitor.Monitor, request *requester.Request, weights int) int {
+	kept := 0
+	for _, part := range request.Parts {
+		if !one.Keeps(partKey(request, weights, part)) {
+			break
+		}
+		kept += part.Tokens
+	}
+	return kept
+}
+
+// again decides whether the request goes to another endpoint after cause.
+func (r *Relayer) again(ctx context.Context, c *course, cause *refuser.Refusal) bool {
+	if ctx.Err() != nil || c.answer.Err() != nil {
+		return false
+	}
+	if cause.Ran != judge.NotRun && (!c.request.Repeats() || c.runs >= c.request.Route.Attempts) {
+		return false
+	}
+	if c.sends >= mostSends {
+		return false
+	}
+	if c.sends > 0 && !r.budget(c.request.Pool.Name).Spend() {
+		r.count.Add("retry", "exhausted")
+		return false
+	}
+	c.tried = append(c.tried, c.place)
+	return true
+}
+
+// record counts and logs how a request ended.
+func (r *Relayer) record(c *course, refusal *refuser.Refusal) {
+	took := r.now().Sub(c.request.At)
+	outcome := "answered"
+	if refusal != nil {
+		outcome = string(refusal.Code)
+	}
+	r.count.Add("requests", outcome)
+	r.count.Observe("answer.millis", took.Milliseconds())
+	level := zap.DebugLevel
+	if refusal != nil {
+		level = zap.InfoLevel
+	}
+	entry := r.log.Check(level, "request ended")
+	if entry == nil {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", c.request.ID), zap.String("route", c.request.Route.Name), zap.String("workspace", c.request.Workspace.Name),
+		zap.Int64("configuration", c.request.Table), zap.String("outcome", outcome), zap.Int("sends", c.sends), zap.Int("runs", c.runs),
+		zap.Int64("millis", took.Milliseconds()), zap.Int("predicted", int(c.choice.Millis)),
+	}
+	if c.place != nil {
+		fields = append(fields, zap.String("endpoint", c.place.Entry().Name))
+	}
+	if refusal != nil {
+		fields = append(fields, zap.String("reason", refusal.Reason), zap.Stringer("verdict", refusal.Ran))
+	}
+	entry.Write(fields...)
+}
+
+func (c *course) has(place *monitor.Monitor) bool {
+	for _, tried := range c.tried {
+		if tried == place {
+			return true
+		}
+	}
+	return false
+}
+
+// passed returns the fields of an endpoint's answer that go to the caller.
+func passed(head *framer.Head) []framer.Field {
+	fields := make([]framer.Field, 0, len(head.Fields))
+	for _, field := range head.Fields {
+		if !head.Hop(field.Name) {
+			fields = append(fields, field)
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/roller/roller.go
@@ -0,0 +1,308 @@
+// Package roller brings engines to the newest weights, under a lease that only
+// one instance holds, and tells the others which engines are out of service.
+package roller
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/holder"
+	"wisteriadrum/leaser"
+	"wisteriadrum/monitor"
+	"wisteriadrum/pacer"
+	"wisteriadrum/registrar"
+	"wisteriadrum/sharer"
+)
+
+const (
+	roundEvery  = 100 * time.Millisecond
+	callTimeout = time.Second
+	// loadLimit is how long an engine is taken to load unless it says otherwise.
+	loadLimit = 3 * time.Second
+	// stepAside is how long an instance waits for each candidate before it.
+	stepAside = 2 * time.Second
+	// noticeWait lets the other instances hear that an engine goes out of
+	// service before it is ordered: one interval of notes.
+	noticeWait = 60 * time.Millisecond
+)
+
+// Verdicts on an order.
+var (
+	// ErrFenced means that a higher fencing number was used.
+	ErrFenced = errors.New("order has an old fencing number")
+	// ErrBusy means that another order is under way or was carried out.
+	ErrBusy = errors.New("another order came before")
+	// ErrUnknown means that the order may or may not be carried out.
+	ErrUnknown = errors.New("order was not answered")
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Weights are the versions of models by name.
+	Weights map[string]int
+	// Busy reports that an order is under way.
+	Busy bool
+	// Seq is the number of orders accepted so far.
+	Seq int
+}
+
+// Order tells an engine to load a version of a model.
+type Order struct {
+	Model   string
+	Version int
+	Fence   uint64
+	// Expected is the number of orders that the engine has accepted.
+	Expected int
+}
+
+// Engines makes control calls to engines.
+type Engines interface {
+	// Report asks an engine for its state.
+	Report(ctx context.Context, engine monitor.Entry) (Report, error)
+	// Order gives an engine an order. The error is one of the verdicts.
+	Order(ctx context.Context, engine monitor.Entry, order Order) error
+}
+
+// Roller gives orders while this instance holds the lease.
+type Roller struct {
+	name    string
+	beliefs *registrar.Registrar
+	engines Engines
+	lease   *leaser.Leaser
+	share   *sharer.Sharer
+	quiet   time.Duration
+	count   *counter.Counter
+	log     *zap.Logger
+	now     func() time.Time
+
+	held      holder.Section[leaser.Lease]
+	needSince time.Time
+	mu        sync.Mutex
+	busy      map[uint64]bool
+}
+
+// New returns a roller for the instance named name. quiet is kept between the
+// orders of two holders. now is a clock that goes on while the process is frozen.
+func New(name string, beliefs *registrar.Registrar, engines Engines, lease *leaser.Leaser, share *sharer.Sharer, quiet time.Duration, count *counter.Counter, log *zap.Logger, now func() time.Time) *Roller {
+	return &Roller{name: name, beliefs: beliefs, engines: engines, lease: lease, share: share, quiet: quiet, count: count, log: log, now: now, busy: map[uint64]bool{}}
+}
+
+// Run gives orders until ctx ends.
+func (r *Roller) Run(ctx context.Context) {
+	for pacer.Wait(ctx, roundEvery) {
+		r.round(ctx)
+	}
+}
+
+type task struct {
+	model   string
+	version int
+	engines int
+	old     []Step
+}
+
+func (r *Roller) round(ctx context.Context) {
+	tasks := r.tasks()
+	now := r.now()
+	if len(tasks) == 0 {
+		r.needSince = time.Time{}
+		if !r.held.Load().Valid(now) {
+			r.share.Lead(false)
+		}
+		return
+	}
+	if r.needSince.IsZero() {
+		r.needSince = now
+	}
+	if !r.held.Load().Valid(now.Add(callTimeout/2)) && !r.take(ctx) {
+		return
+	}
+	if since := r.held.Load().Since; !since.IsZero() && r.now().Before(since.Add(r.quiet)) {
+		return
+	}
+	for _, t := range tasks {
+		for _, step := range Plan(t.engines, r.underWay(), t.old) {
+			r.begin(ctx, step.Place, t)
+		}
+	}
+}
+
+// tasks returns the models of which some engines have old weights.
+func (r *Roller) tasks() []task {
+	var tasks []task
+	now := time.Now()
+	for model, named := range r.beliefs.Weights() {
+		t := task{model: model, version: named.Version}
+		for _, one := range r.beliefs.Fleet().All() {
+			view := one.View(model, now)
+			if view.Weights == 0 || view.Leaving {
+				continue
+			}
+			t.engines++
+			if view.Weights < named.Version && !r.isBusy(one.Key) {
+				t.old = append(t.old, Step{Place: one, Flight: view.Load.Requests, Version: view.Weights})
+			}
+		}
+		if len(t.old) > 0 {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// take takes or renews the lease when it is this instance's turn.
+func (r *Roller) take(ctx context.Context) bool {
+	if r.now().Before(r.needSince.Add(time.Duration(r.rank()) * stepAside)) {
+		return false
+	}
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	held, err := r.lease.Take(limit)
+	if err != nil {
+		r.count.Add("orders", "no-lease")
+		r.share.Lead(false)
+		if !errors.Is(err, leaser.ErrHeld) {
+			r.log.Warn("lease on orders not taken", zap.Error(err))
+		}
+		return false
+	}
+	if held.Fence != r.held.Load().Fence {
+		r.log.Info("lease on orders taken", zap.Uint64("fence", held.Fence))
+	}
+	r.held.Store(held)
+	r.share.Lead(true)
+	return held.Valid(r.now())
+}
+
+// rank returns how many live instances go before this one: the last holder,
+// then the others by name.
+func (r *Roller) rank() int {
+	leader := r.share.Leader()
+	if leader == r.name {
+		return 0
+	}
+	rank := 0
+	for _, name := range r.share.Live() {
+		if name == leader || name < r.name {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (r *Roller) underWay() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.busy)
+}
+
+func (r *Roller) isBusy(key uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.busy[key]
+}
+
+// begin takes an engine out of service and orders it beside the other rounds.
+func (r *Roller) begin(ctx context.Context, place *monitor.Monitor, t task) {
+	r.mu.Lock()
+	r.busy[place.Key] = true
+	r.mu.Unlock()
+	go func() {
+		defer func() {
+			r.mu.Lock()
+			delete(r.busy, place.Key)
+			r.mu.Unlock()
+		}()
+		r.bring(ctx, place, t)
+	}()
+}
+
+// bring brings one engine to a version.
+func (r *Roller) bring(ctx context.Context, place *monitor.Monitor, t task) {
+	report, err := r.report(ctx, place)
+	if err != nil || r.done(place, t, report) {
+		return
+	}
+	if report.Busy {
+		r.follow(ctx, place, t)
+		return
+	}
+	r.notice(place, t)
+	pacer.Wait(ctx, noticeWait)
+	held := r.held.Load()
+	if !held.Valid(r.now()) || place.Left(time.Now()) {
+		return
+	}
+	order := Order{Model: t.model, Version: t.version, Fence: held.Fence, Expected: report.Seq}
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	err = r.engines.Order(limit, place.Entry(), order)
+	cancel()
+	r.log.Info("weights ordered", zap.String("endpoint", place.Entry().Name), zap.String("model", t.model), zap.Int("version", t.version),
+		zap.Uint64("fence", order.Fence), zap.Int("expected", order.Expected), zap.Int("flight", place.Own().Requests), zap.Error(err))
+	switch {
+	case errors.Is(err, ErrFenced):
+		r.count.Add("orders", "fenced")
+		r.held.Store(leaser.Lease{})
+		return
+	case err != nil && !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrBusy):
+		r.count.Add("orders", "refused")
+		return
+	}
+	r.count.Add("orders", "given")
+	r.follow(ctx, place, t)
+}
+
+// follow asks the engine until it has the version or has taken too long.
+func (r *Roller) follow(ctx context.Context, place *monitor.Monitor, t task) {
+	giveUp := r.now().Add(loadLimit)
+	for pacer.Wait(ctx, roundEvery) && r.now().Before(giveUp) {
+		report, err := r.report(ctx, place)
+		if err != nil {
+			continue
+		}
+		if r.done(place, t, report) {
+			return
+		}
+		if report.Busy {
+			giveUp = r.now().Add(loadLimit / 2)
+			r.notice(place, t)
+		}
+	}
+}
+
+func (r *Roller) notice(place *monitor.Monitor, t task) {
+	place.Loading(time.Now().Add(loadLimit / 2))
+	r.share.Weights(place, t.model, 0, int((loadLimit / 2).Milliseconds()))
+}
+
+func (r *Roller) report(ctx context.Context, place *monitor.Monitor) (Report, error) {
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := r.engines.Report(limit, place.Entry())
+	if err != nil {
+		r.count.Add("orders", "no-report")
+		r.log.Info("engine did not report", zap.String("endpoint", place.Entry().Name), zap.Error(err))
+		return report, err
+	}
+	return report, nil
+}
+
+// done reports whether the engine has the version, and tells all if so.
+func (r *Roller) done(place *monitor.Monitor, t task, report Report) bool {
+	has := report.Weights[t.model]
+	if has == 0 {
+		return false
+	}
+	before := place.Weights(t.model)
+	place.SetWeights(t.model, has)
+	if has > before {
+		place.Loading(time.Time{})
+		r.share.Weights(place, t.model, has, 0)
+	}
+	return has >= t.version
+}
--- /dev/null
+++ b/sharer/sharer.go
@@ -0,0 +1,302 @@
+// Package sharer exchanges what instances know by datagrams: the load that
+// each puts on endpoints, where parts of prompts are kept, versions of weights
+// and requests that crash endpoints. A lost datagram costs precision only.
+package sharer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/monitor"
+	"wisteriadrum/pacer"
+	"wisteriadrum/quarantiner"
+	"wisteriadrum/registrar"
+)
+
+const (
+	// tick is the shortest interval of notes.
+	tick = 100 * time.Millisecond
+	// tickPeer lengthens the interval for each peer, so that the notes heard in
+	// a second are bounded.
+	tickPeer = 8 * time.Millisecond
+	// restEvery is the interval of notes that tell nothing new, in ticks.
+	restEvery = 5
+	// silentAfter is the silence after which a peer is taken to be gone: six
+	// notes at rest.
+	silentAfter = 3 * time.Second
+	// maxNote is the size of a datagram in bytes that is not cut up on the way.
+	maxNote   = 1400
+	maxRead   = 64 << 10
+	mostParts = 40
+)
+
+// Peer is another instance.
+type Peer struct {
+	Name, DataCentre, Address string
+	boot                      int64
+	seq                       uint64
+	silentBy                  time.Time
+}
+
+// Sharer tells the peers what this instance knows and takes in what they tell.
+type Sharer struct {
+	self    Peer
+	conn    net.PacketConn
+	beliefs *registrar.Registrar
+	ward    *quarantiner.Ward
+	count   *counter.Counter
+	log     *zap.Logger
+	now     func() time.Time
+	newer   func()
+
+	mu     sync.Mutex
+	seq    uint64
+	peers  map[string]*Peer
+	told   map[uint64]monitor.Load
+	parts  []part
+	news   []weights
+	cases  []quarantiner.Case
+	leader string
+	lead   bool
+	gone   bool
+}
+
+// New returns a sharer for the instance self, which talks over conn. It calls
+// newer when a peer has a newer configuration.
+func New(self Peer, boot int64, conn net.PacketConn, beliefs *registrar.Registrar, ward *quarantiner.Ward, count *counter.Counter, log *zap.Logger, now func() time.Time, newer func()) *Sharer {
+	self.boot = boot
+	return &Sharer{self: self, conn: conn, beliefs: beliefs, ward: ward, count: count, log: log, now: now, newer: newer,
+		peers: map[string]*Peer{}, told: map[uint64]monitor.Load{}}
+}
+
+// Meet adds peers that are known from elsewhere.
+func (s *Sharer) Meet(peers []Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, peer := range peers {
+		if known := s.peers[peer.Name]; peer.Name != s.self.Name && (known == nil || known.Address != peer.Address && s.silent(known)) {
+			added := peer
+			s.peers[peer.Name] = &added
+		}
+	}
+}
+
+func (s *Sharer) silent(peer *Peer) bool { return !s.now().Before(peer.silentBy) }
+
+// Live returns the names of the live instances, this one included, in order.
+func (s *Sharer) Live() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{s.self.Name}
+	for name, peer := range s.peers {
+		if !s.silent(peer) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Leader returns the instance that was last heard to hold the lease on orders.
+func (s *Sharer) Leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
+// Lead says whether this instance holds the lease on orders.
+func (s *Sharer) Lead(lead bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lead = lead
+	if lead {
+		s.leader = s.self.Name
+	}
+}
+
+// Keep tells that an endpoint keeps a part.
+func (s *Sharer) Keep(place *monitor.Monitor, key uint64, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.parts) < 2*mostParts {
+		s.parts = append(s.parts, part{Key: place.Key, Part: key, Tokens: tokens})
+	}
+}
+
+// Weights tells which version an endpoint has, or that it loads one for so
+// many milliseconds, at once.
+func (s *Sharer) Weights(place *monitor.Monitor, model string, version, loading int) {
+	s.mu.Lock()
+	s.news = append(s.news, weights{Key: place.Key, Model: model, Version: version, Loading: loading})
+	s.mu.Unlock()
+	s.tell(true)
+}
+
+// Alarm tells of a request that crashed an endpoint, at once.
+func (s *Sharer) Alarm(one quarantiner.Case) {
+	s.mu.Lock()
+	s.cases = append(s.cases, one)
+	s.mu.Unlock()
+	s.tell(true)
+}
+
+// Leave tells that this instance ends.
+func (s *Sharer) Leave() {
+	s.mu.Lock()
+	s.gone = true
+	s.mu.Unlock()
+	s.tell(true)
+}
+
+// Run tells the peers until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	for round := 0; pacer.Wait(ctx, s.interval()); round++ {
+		s.tell(round%restEvery == 0)
+	}
+}
+
+func (s *Sharer) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(tick, time.Duration(len(s.peers))*tickPeer)
+}
+
+// tell sends a note to all peers; one without news only if rest says so.
+func (s *Sharer) tell(rest bool) {
+	s.mu.Lock()
+	next := s.note(rest)
+	addresses := make([]string, 0, len(s.peers))
+	for _, peer := range s.peers {
+		addresses = append(addresses, peer.Address)
+	}
+	s.mu.Unlock()
+	if !rest && len(next.Loads) == 0 && len(next.Parts) == 0 {
+		return
+	}
+	data, err := json.Marshal(next)
+	if err != nil {
+		s.log.Error("note not encoded", zap.Error(err))
+		return
+	}
+	for _, address := range addresses {
+		target, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, err = s.conn.WriteTo(data, target)
+		}
+		if err != nil {
+			s.count.Add("notes", "unsent") // a cut link or a peer that is gone; the next note tells the same
+		}
+	}
+	s.count.AddMany("notes", "sent", len(addresses))
+}
+
+// note returns the next note, with the loads that changed, or all at rest.
+func (s *Sharer) note(rest bool) note {
+	s.seq++
+	next := note{Name: s.self.Name, Zone: s.self.DataCentre, Addr: s.self.Address, Boot: s.self.boot, Seq: s.seq, Full: rest, Lead: s.lead, Gone: s.gone}
+	if table := s.beliefs.Table(); table != nil {
+		next.Table = table.Version
+	}
+	for _, one := range s.beliefs.Fleet().All() {
+		own := one.Own()
+		if own == s.told[one.Key] && !(rest && own != monitor.Load{}) {
+			continue
+		}
+		s.told[one.Key] = own
+		next.Loads = append(next.Loads, load{Key: one.Key, Requests: own.Requests, Unread: own.Unread, Memory: own.Memory})
+	}
+	taken := min(len(s.parts), mostParts)
+	next.Parts, s.parts = s.parts[:taken], s.parts[taken:]
+	next.Weights, s.news = s.news, nil
+	next.Cases, s.cases = s.cases, nil
+	return next
+}
+
+// Listen takes in notes until the connection is closed.
+func (s *Sharer) Listen() error {
+	buffer := make([]byte, maxRead)
+	for {
+		n, _, err := s.conn.ReadFrom(buffer)
+		if err != nil {
+			return err
+		}
+		var heard note
+		if err := json.Unmarshal(buffer[:n], &heard); err != nil {
+			s.count.Add("notes", "malformed")
+			s.log.Warn("malformed note dropped", zap.Error(err))
+			continue
+		}
+		s.hear(heard)
+	}
+}
+
+func (s *Sharer) hear(heard note) {
+	now := s.now()
+	if !s.admit(heard, now) {
+		return
+	}
+	fleet := s.beliefs.Fleet()
+	named := make(map[uint64]bool, len(heard.Loads))
+	for _, l := range heard.Loads {
+		named[l.Key] = true
+		if one := fleet.Key(l.Key); one != nil {
+			one.Told(heard.Name, l.load(), now)
+		}
+	}
+	if heard.Full {
+		for _, one := range fleet.All() {
+			if !named[one.Key] {
+				one.Told(heard.Name, monitor.Load{}, now)
+			}
+		}
+	}
+	for _, p := range heard.Parts {
+		if one := fleet.Key(p.Key); one != nil {
+			one.Keep(p.Part, p.Tokens)
+		}
+	}
+	for _, w := range heard.Weights {
+		if one := fleet.Key(w.Key); one != nil && w.Loading > 0 {
+			one.Loading(now.Add(time.Duration(w.Loading) * time.Millisecond))
+		} else if one != nil {
+			one.SetWeights(w.Model, w.Version)
+		}
+	}
+	s.ward.Merge(heard.Cases, now)
+	if table := s.beliefs.Table(); table == nil || heard.Table > table.Version {
+		s.newer()
+	}
+}
+
+// admit notes the sender and reports whether the note is newer than its last.
+func (s *Sharer) admit(heard note, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if heard.Name == s.self.Name {
+		return false
+	}
+	peer := s.peers[heard.Name]
+	// After a silence any incarnation is taken, since the time of day that
+	// numbers them may have jumped.
+	if peer != nil && !s.silent(peer) && (heard.Boot < peer.boot || heard.Boot == peer.boot && heard.Seq <= peer.seq) {
+		return false
+	}
+	if peer == nil || s.silent(peer) {
+		s.log.Info("peer heard", zap.String("peer", heard.Name), zap.String("address", heard.Addr))
+	}
+	s.peers[heard.Name] = &Peer{Name: heard.Name, DataCentre: heard.Zone, Address: heard.Addr, boot: heard.Boot, seq: heard.Seq, silentBy: now.Add(silentAfter)}
+	if heard.Lead {
+		s.leader = heard.Name
+	}
+	if heard.Gone {
+		delete(s.peers, heard.Name)
+	}
+	return true
+}
--- /dev/null
+++ b/speaker/speaker.go
@@ -0,0 +1,54 @@
+// Package speaker is the port between the data path and a wire protocol.
+package speaker
+
+import (
+	"time"
+
+	"wisteriadrum/framer"
+	"wisteriadrum/refuser"
+	"wisteriadrum/requester"
+)
+
+// Send says how a request goes to one endpoint.
+type Send struct {
+	// Endpoint is the only one that may take the request.
+	Endpoint string
+	// Deadline is when the endpoint must stop.
+	Deadline time.Time
+	// Weights is the only version on which the request may run, 0 for any.
+	Weights int
+	// Salt separates cached parts that must not be shared.
+	Salt string
+	// Fetch is the address from which cached parts are fetched, or "".
+	Fetch string
+	// LastEvent is the last event that the caller has, or "".
+	LastEvent string
+}
+
+// Answer is what the head of an endpoint's answer says.
+type Answer struct {
+	// ID names the request that is answered, "" if the answer does not say.
+	ID string
+	// NotRun is the endpoint's word that the request did not run.
+	NotRun bool
+	// Moved reports that another endpoint has the address.
+	Moved bool
+	// Sealed reports that the answer carries the endpoint's own mark.
+	Sealed bool
+	// Weights is the version that ran, 0 if unknown.
+	Weights int
+	// Keep is how long the endpoint keeps the connection, in seconds, 0 if unknown.
+	Keep int
+}
+
+// Speaker translates between messages and the data path's own types.
+type Speaker interface {
+	// Decode fills a request from its head; the error is a refusal.
+	Decode(head *framer.Head, at time.Time) (*requester.Request, error)
+	// Encode appends the head that goes to an endpoint.
+	Encode(buffer []byte, request *requester.Request, send Send, now time.Time) []byte
+	// Answer reads the head of an endpoint's answer.
+	Answer(head *framer.Head) Answer
+	// Refusal returns the status and the header fields of a refusal.
+	Refusal(id string, refusal *refuser.Refusal, now time.Time) (int, []framer.Field)
+}
