--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,12 @@
 	slotMillis = 25.0
 	// memoryMillis is the wait for memory, for the whole of an engine's memory.
 	memoryMillis = 4000.0
+	// runningShare is the share of an engine's memory that running requests may
+	// take before long prompts wait: the rest keeps parts, without which more
+	// must be read, and bounds the reading between the tokens of streams.
+	runningShare = 0.5
+	// longPrompt is the share of an engine's memory above which a prompt is long.
+	longPrompt = 0.015
 	// memoryFull is the share of memory above which engines preempt.
 	memoryFull = 0.85
 	// serviceMillis is the time of a plain service for one request.
@@ -82,9 +88,12 @@
 	Unread int
 	// Cost is what places are compared by: Millis with penalties.
 	Cost float64
+	// Full reports that the endpoint has no room for a long prompt now.
+	Full bool
 }
 
-// Choose returns the place of least cost, and with it where parts are fetched.
+// Choose returns the place of least cost, one with room if there is any, and
+// with it where parts are fetched.
 func Choose(need Need, candidates []Candidate) Choice {
 	source := richest(candidates)
 	best := Choice{Place: -1, Fetch: -1}
@@ -93,7 +102,7 @@
 			continue
 		}
 		choice := weigh(need, candidates, place, source)
-		if best.Place < 0 || choice.Cost < best.Cost {
+		if best.Place < 0 || best.Full && !choice.Full || best.Full == choice.Full && choice.Cost < best.Cost {
 			best = choice
 		}
 	}
@@ -138,9 +147,19 @@
 	choice.Neutral = baseMillis + float64(view.Load.Unread+choice.Unread)/tokensPerMilli + requestMillis*float64(view.Load.Requests)
 	choice.Millis = choice.Neutral*view.Scale + fetch + room(need, view)
 	choice.Cost = choice.Millis + penalties(need, view)
+	choice.Full = full(need, view)
 	return choice
 }
 
+// full reports whether a long prompt must wait for others to end.
+func full(need Need, view monitor.View) bool {
+	capacity := float64(view.Engine.Capacity)
+	if float64(need.Prompt) < longPrompt*capacity || view.Load.Requests == 0 {
+		return false
+	}
+	return float64(view.Load.Memory+need.Prompt) > runningShare*capacity
+}
+
 // room returns the wait for a place in the batch and for memory.
 func room(need Need, view monitor.View) float64 {
 	wait := slotMillis * float64(max(0, view.Load.Requests+1-view.Engine.Slots))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,9 +17,11 @@
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
+	"wisteriadrum/pacer"
 	"wisteriadrum/placer"
 	"wisteriadrum/pooler"
 	"wisteriadrum/quarantiner"
+	"wisteriadrum/queuer"
 	"wisteriadrum/refuser"
 	"wisteriadrum/registrar"
 	"wisteriadrum/requester"
@@ -33,6 +35,8 @@
 	mostSends = 4
 	// sendMargin is kept for the answer's way back to the caller.
 	sendMargin = 10 * time.Millisecond
+	// seatEvery is the mean interval at which a waiting request looks for room.
+	seatEvery = 20 * time.Millisecond
 	// retryAfter is when a caller may come back if nothing better is known:
 	// about the time in which the list of endpoints follows a change.
 	retryAfter = time.Second
@@ -54,6 +58,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
+	queues  map[string]*queuer.Queue
 	share   int
 }
 
@@ -82,7 +87,7 @@
 		speaker: ports.Speaker, beliefs: ports.Beliefs, pool: ports.Pool, ward: ports.Ward, rule: ports.Rule,
 		dataCentre: ports.DataCentre, keep: ports.Keep, alarm: ports.Alarm,
 		count: ports.Count, log: ports.Log, now: ports.Now,
-		budgets: map[string]*budgeter.Budget{}, share: 1,
+		budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, share: 1,
 	}
 }
 
@@ -108,6 +113,17 @@
 	return budget
 }
 
+func (r *Relayer) queue(pool string) *queuer.Queue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	queue := r.queues[pool]
+	if queue == nil {
+		queue = queuer.New()
+		r.queues[pool] = queue
+	}
+	return queue
+}
+
 // course is the state of one request.
 type course struct {
 	request *requester.Request
@@ -119,6 +135,10 @@
 	// last is the last event that was passed on.
 	last   string
 	choice placer.Choice
+	// waited is the time for which no engine had room.
+	waited time.Duration
+	// first is the time until the answer began, in milliseconds.
+	first int
 	// place is the endpoint of the choice, source the one to fetch parts from.
 	place, source *monitor.Monitor
 }
@@ -174,7 +194,36 @@
 	if known && suspect.Refused() {
 		return refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints", len(suspect.Losses)).WithRetryAt(suspect.Until)
 	}
-	return r.place(c, now)
+	return r.seat(ctx, c)
+}
+
+// seat chooses an endpoint and waits while none has room. A request that has
+// waited for half of its time is refused, so that its caller can come back.
+func (r *Relayer) seat(ctx context.Context, c *course) *refuser.Refusal {
+	refusal := r.place(c, r.now())
+	if refusal != nil || !c.choice.Full {
+		return refusal
+	}
+	queue := r.queue(c.request.Pool.Name)
+	ticket := &queuer.Ticket{Urgency: c.request.Urgency(), Arrived: c.request.At, TargetBy: c.request.Route.TargetBy(c.request.At)}
+	queue.Join(ticket)
+	defer queue.Leave(ticket)
+	begun := r.now()
+	leaveBy := begun.Add(c.ends.Sub(begun) / 2)
+	for pacer.Wait(ctx, pacer.Jitter(seatEvery)) {
+		now := r.now()
+		if !now.Before(leaveBy) {
+			return refuser.New(refuser.Overloaded, judge.NotRun, "no engine had room for %d ms", now.Sub(begun).Milliseconds()).WithRetryAt(now.Add(retryAfter))
+		}
+		if queue.Ahead(ticket, now) > 0 {
+			continue
+		}
+		if refusal := r.place(c, now); refusal != nil || !c.choice.Full {
+			c.waited = now.Sub(begun)
+			return refusal
+		}
+	}
+	return refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
 }
 
 // recheck looks the request up again if the configuration has changed since.
@@ -256,18 +305,14 @@
 	}
 	r.count.Add("requests", outcome)
 	r.count.Observe("answer.millis", took.Milliseconds())
-	level := zap.DebugLevel
-	if refusal != nil {
-		level = zap.InfoLevel
-	}
-	entry := r.log.Check(level, "request ended")
+	entry := r.log.Check(zap.InfoLevel, "request ended")
 	if entry == nil {
 		return
 	}
 	fields := []zap.Field{
 		zap.String("request", c.request.ID), zap.String("route", c.request.Route.Name), zap.String("workspace", c.request.Workspace.Name),
 		zap.Int64("configuration", c.request.Table), zap.String("outcome", outcome), zap.Int("sends", c.sends), zap.Int("runs", c.runs),
-		zap.Int64("millis", took.Milliseconds()), zap.Int("predicted", int(c.choice.Millis)),
+		zap.Int64("millis", took.Milliseconds()), zap.Int("predicted", int(c.choice.Millis)), zap.Int("prompt", c.request.Prompt), zap.Int64("waited", c.waited.Milliseconds()), zap.Int("unread", c.choice.Unread), zap.Bool("fetch", c.source != nil), zap.Int("first", c.first),
 	}
 	if c.place != nil {
 		fields = append(fields, zap.String("endpoint", c.place.Entry().Name))
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -75,7 +75,8 @@
 		return
 	}
 	t.answer.Begin(head.Status, passed(head), data)
-	r.count.Observe("first.millis", r.now().Sub(t.request.At).Milliseconds())
+	t.first = int(r.now().Sub(t.request.At).Milliseconds())
+	r.count.Observe("first.millis", int64(t.first))
 }
 
 // firstEvent notes that the prompt has been read.
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -24,6 +24,8 @@
 	callTimeout = time.Second
 	// loadLimit is how long an engine is taken to load unless it says otherwise.
 	loadLimit = 3 * time.Second
+	// askPause is the wait before an engine that did not report is asked again.
+	askPause = 500 * time.Millisecond
 	// stepAside is how long an instance waits for each candidate before it.
 	stepAside = 2 * time.Second
 	// noticeWait lets the other instances hear that an engine goes out of
@@ -84,12 +86,14 @@
 	needSince time.Time
 	mu        sync.Mutex
 	busy      map[uint64]bool
+	// askBy is when an engine that did not report is asked again.
+	askBy map[uint64]time.Time
 }
 
 // New returns a roller for the instance named name. quiet is kept between the
 // orders of two holders. now is a clock that goes on while the process is frozen.
 func New(name string, beliefs *registrar.Registrar, engines Engines, lease *leaser.Leaser, share *sharer.Sharer, quiet time.Duration, count *counter.Counter, log *zap.Logger, now func() time.Time) *Roller {
-	return &Roller{name: name, beliefs: beliefs, engines: engines, lease: lease, share: share, quiet: quiet, count: count, log: log, now: now, busy: map[uint64]bool{}}
+	return &Roller{name: name, beliefs: beliefs, engines: engines, lease: lease, share: share, quiet: quiet, count: count, log: log, now: now, busy: map[uint64]bool{}, askBy: map[uint64]time.Time{}}
 }
 
 // Run gives orders until ctx ends.
@@ -103,7 +107,9 @@
 	model   string
 	version int
 	engines int
-	old     []Step
+	// behind counts all engines with old weights, old are those not under way.
+	behind int
+	old    []Step
 }
 
 func (r *Roller) round(ctx context.Context) {
@@ -144,11 +150,14 @@
 				continue
 			}
 			t.engines++
+			if view.Weights < named.Version {
+				t.behind++
+			}
 			if view.Weights < named.Version && !r.isBusy(one.Key) {
 				t.old = append(t.old, Step{Place: one, Flight: view.Load.Requests, Version: view.Weights})
 			}
 		}
-		if len(t.old) > 0 {
+		if t.behind > 0 {
 			tasks = append(tasks, t)
 		}
 	}
@@ -204,7 +213,7 @@
 func (r *Roller) isBusy(key uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.busy[key]
+	return r.busy[key] || r.askBy[key].After(r.now())
 }
 
 // begin takes an engine out of service and orders it beside the other rounds.
@@ -286,6 +295,9 @@
 	report, err := r.engines.Report(limit, place.Entry())
 	if err != nil {
 		r.count.Add("orders", "no-report")
+		r.mu.Lock()
+		r.askBy[place.Key] = r.now().Add(askPause)
+		r.mu.Unlock()
 		r.log.Info("engine did not report", zap.String("endpoint", place.Entry().Name), zap.Error(err))
 		return report, err
 	}
