--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -58,6 +58,9 @@
 	Lease leaser.Terms
 	// Quiet is kept between orders of two holders, in milliseconds.
 	Quiet int
+	// Expiry is the time after which weights that are not the newest are out of
+	// use, in milliseconds.
+	Expiry int
 	// Grace is the time from the signal to stop to the kill, in milliseconds.
 	Grace int
 }
@@ -117,7 +120,7 @@
 	c.share = sharer.New(self, time.Now().UnixNano(), packets, beliefs, ward, count, log, time.Now, c.feeders[0].Again)
 	c.relay = relayer.New(relayer.Ports{
 		Speaker: ports.Speaker, Beliefs: beliefs, Pool: pooler.New(ports.Dial, time.Now), Ward: ward, Rule: options.Retries,
-		DataCentre: options.DataCentre, Keep: c.share.Keep, Alarm: c.share.Alarm, Count: count, Log: log, Now: time.Now,
+		DataCentre: options.DataCentre, Expiry: time.Duration(options.Expiry) * time.Millisecond, Keep: c.share.Keep, Alarm: c.share.Alarm, Count: count, Log: log, Now: time.Now,
 	})
 	c.accept = acceptor.New(ports.Speaker, beliefs, c.relay, count, log, time.Now)
 	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
@@ -199,14 +202,16 @@
 	c.log.Info("instance stopping", zap.Int("busy", c.accept.Busy()))
 	c.stopping.Store(true)
 	c.accept.Leave()
+	c.share.Leave(false)
 	limit, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	go c.roll.Stop(limit)
 	pacer.Wait(limit, min(balancerWait, grace/2))
 	_ = callers.Close() // nothing can be done about a listener that does not close
 	for c.accept.CloseIdle() > 0 && pacer.Wait(limit, drainCheck) {
 		continue
 	}
-	c.share.Leave()
+	c.share.Leave(true)
 	time.Sleep(lastAnswers) // for what was written last to leave
 	c.log.Info("instance stopped", zap.Int("busy", c.accept.Busy()))
 }
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -33,8 +33,8 @@
 // Lease is the right to give orders until Until by this process's clock.
 type Lease struct {
 	Fence uint64
-	// Since is when this holder got the lease from another, zero if it had no
-	// other holder before.
+	// Since is the earliest time at which another may have used the lease last,
+	// zero if it had no other holder before.
 	Since time.Time
 	Until time.Time
 }
@@ -63,6 +63,9 @@
 	Holder string `json:"holder"`
 	Fence  uint64 `json:"fence"`
 	Count  uint64 `json:"count"`
+	// Idle is set when the lease was given back: how long before that it had
+	// been used last, in milliseconds.
+	Idle int64 `json:"idle,omitempty"`
 }
 
 // New returns a leaser of the lease in the row key. The holder's name must be
@@ -98,6 +101,9 @@
 		}
 		next.Fence++
 		l.since = time.Time{}
+		if old.Fence > 0 {
+			l.since = l.seenAt.Add(-time.Duration(old.Idle) * time.Millisecond)
+		}
 		if old.Holder != "" {
 			l.since = begun
 		}
@@ -105,6 +111,29 @@
 	return l.write(ctx, next, rows[0].Version, begun)
 }
 
+// Release gives the lease back if this holder has it. lastUse is when it was
+// used last, which the next holder is told.
+func (l *Leaser) Release(ctx context.Context, lastUse time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rows, err := l.table.Get(ctx, l.key)
+	if err != nil {
+		return eris.Wrap(err, "read the lease")
+	}
+	var old row
+	if rows[0].Version == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(rows[0].Value, &old); err != nil {
+		return eris.Wrap(err, "decode the lease")
+	}
+	if old.Holder != l.holder {
+		return nil
+	}
+	_, err = l.write(ctx, row{Fence: old.Fence, Count: old.Count + 1, Idle: l.now().Sub(lastUse).Milliseconds()}, rows[0].Version, l.now())
+	return err
+}
+
 func (l *Leaser) write(ctx context.Context, next row, version uint64, begun time.Time) (Lease, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -56,6 +56,8 @@
 	DataCentre string
 	// Newest is the newest version of its model.
 	Newest int
+	// Expired reports that older versions should be out of use by now.
+	Expired bool
 }
 
 // Candidate is an endpoint that may be chosen.
@@ -97,8 +99,9 @@
 func Choose(need Need, candidates []Candidate) Choice {
 	source := richest(candidates)
 	best := Choice{Place: -1, Fetch: -1}
+	expired := need.Expired && anyNewest(need, candidates)
 	for place, candidate := range candidates {
-		if candidate.Barred || candidate.View.Left {
+		if candidate.Barred || candidate.View.Left || expired && candidate.View.Weights < need.Newest {
 			continue
 		}
 		choice := weigh(need, candidates, place, source)
@@ -109,6 +112,17 @@
 	return best
 }
 
+// anyNewest reports whether an endpoint has the newest weights. While none
+// has, an answer on older ones is better than none.
+func anyNewest(need Need, candidates []Candidate) bool {
+	for _, candidate := range candidates {
+		if !candidate.View.Left && candidate.View.Weights >= need.Newest {
+			return true
+		}
+	}
+	return false
+}
+
 // richest returns the candidate that keeps most of the prompt.
 func richest(candidates []Candidate) Source {
 	source := Source{Place: -1}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -50,6 +50,7 @@
 	ward       *quarantiner.Ward
 	rule       budgeter.Rule
 	dataCentre string
+	expiry     time.Duration
 	keep       func(place *monitor.Monitor, part uint64, tokens int)
 	alarm      func(quarantiner.Case)
 	count      *counter.Counter
@@ -72,6 +73,9 @@
 	Rule budgeter.Rule
 	// DataCentre is the one of this instance.
 	DataCentre string
+	// Expiry is the time after which weights that are not the newest are out
+	// of use.
+	Expiry time.Duration
 	// Keep tells the other instances that an endpoint keeps a part.
 	Keep func(place *monitor.Monitor, part uint64, tokens int)
 	// Alarm tells the other instances of a request that crashed an endpoint.
@@ -85,7 +89,7 @@
 func New(ports Ports) *Relayer {
 	return &Relayer{
 		speaker: ports.Speaker, beliefs: ports.Beliefs, pool: ports.Pool, ward: ports.Ward, rule: ports.Rule,
-		dataCentre: ports.DataCentre, keep: ports.Keep, alarm: ports.Alarm,
+		dataCentre: ports.DataCentre, expiry: ports.Expiry, keep: ports.Keep, alarm: ports.Alarm,
 		count: ports.Count, log: ports.Log, now: ports.Now,
 		budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, share: 1,
 	}
@@ -241,7 +245,9 @@
 	monitors := r.beliefs.Fleet().Pool(request.Pool.Name)
 	need := placer.Need{Prompt: request.Prompt, Output: request.Output, DataCentre: r.dataCentre}
 	if request.Model != "" {
-		need.Newest = r.beliefs.Newest(request.Model).Version
+		newest := r.beliefs.Newest(request.Model)
+		need.Newest = newest.Version
+		need.Expired = now.Sub(newest.Since) > r.expiry
 	}
 	candidates := make([]placer.Candidate, len(monitors))
 	for i, one := range monitors {
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,7 +85,9 @@
 
 	held      holder.Section[leaser.Lease]
 	needSince time.Time
+	stopped   atomic.Bool
 	mu        sync.Mutex
+	lastOrder time.Time
 	busy      map[uint64]bool
 	// askBy is when an engine that did not report is asked again.
 	askBy map[uint64]time.Time
@@ -103,6 +106,27 @@
 	}
 }
 
+// Stop ends the giving of orders and hands the lease over.
+func (r *Roller) Stop(ctx context.Context) {
+	r.stopped.Store(true)
+	held := r.held.Load()
+	r.held.Store(leaser.Lease{})
+	r.share.Lead(false)
+	if !held.Valid(r.now()) {
+		return
+	}
+	r.mu.Lock()
+	last := r.lastOrder
+	r.mu.Unlock()
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := r.lease.Release(limit, last); err != nil {
+		r.log.Warn("lease on orders not handed over", zap.Error(err))
+		return
+	}
+	r.log.Info("lease on orders handed over", zap.Uint64("fence", held.Fence))
+}
+
 type task struct {
 	model   string
 	version int
@@ -113,6 +137,9 @@
 }
 
 func (r *Roller) round(ctx context.Context) {
+	if r.stopped.Load() {
+		return
+	}
 	tasks := r.tasks()
 	now := r.now()
 	if len(tasks) == 0 {
@@ -196,7 +223,7 @@
 		return 0
 	}
 	rank := 0
-	for _, name := range r.share.Live() {
+	for _, name := range r.share.Candidates() {
 		if name == leader || name < r.name {
 			rank++
 		}
@@ -244,6 +271,9 @@
 	r.notice(place, t)
 	pacer.Wait(ctx, noticeWait)
 	held := r.held.Load()
+	r.mu.Lock()
+	r.lastOrder = r.now()
+	r.mu.Unlock()
 	if !held.Valid(r.now()) || place.Left(time.Now()) {
 		return
 	}
--- a/sharer/note.go
+++ b/sharer/note.go
@@ -29,8 +29,9 @@
 	Cases   []quarantiner.Case `json:"c,omitempty"`
 	// Lead reports that the sender holds the lease on orders.
 	Lead bool `json:"h,omitempty"`
-	// Gone reports that the sender ends.
-	Gone bool `json:"g,omitempty"`
+	// Leaving reports that the sender is about to end, Gone that it ends now.
+	Leaving bool `json:"e,omitempty"`
+	Gone    bool `json:"g,omitempty"`
 }
 
 type load struct {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -40,6 +40,7 @@
 // Peer is another instance.
 type Peer struct {
 	Name, DataCentre, Address string
+	leaving                   bool
 	boot                      int64
 	seq                       uint64
 	silentBy                  time.Time
@@ -104,6 +105,20 @@
 	return names
 }
 
+// Candidates returns the live instances that do not end, in order.
+func (s *Sharer) Candidates() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{s.self.Name}
+	for name, peer := range s.peers {
+		if !s.silent(peer) && !peer.leaving {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Leader returns the instance that was last heard to hold the lease on orders.
 func (s *Sharer) Leader() string {
 	s.mu.Lock()
@@ -147,10 +162,10 @@
 	s.tell(true)
 }
 
-// Leave tells that this instance ends.
-func (s *Sharer) Leave() {
+// Leave tells that this instance is about to end, or that it ends now.
+func (s *Sharer) Leave(now bool) {
 	s.mu.Lock()
-	s.gone = true
+	s.self.leaving, s.gone = true, now
 	s.mu.Unlock()
 	s.tell(true)
 }
@@ -200,7 +215,7 @@
 // note returns the next note, with the loads that changed, or all at rest.
 func (s *Sharer) note(rest bool) note {
 	s.seq++
-	next := note{Name: s.self.Name, Zone: s.self.DataCentre, Addr: s.self.Address, Boot: s.self.boot, Seq: s.seq, Full: rest, Lead: s.lead, Gone: s.gone}
+	next := note{Name: s.self.Name, Zone: s.self.DataCentre, Addr: s.self.Address, Boot: s.self.boot, Seq: s.seq, Full: rest, Lead: s.lead, Leaving: s.self.leaving, Gone: s.gone}
 	if table := s.beliefs.Table(); table != nil {
 		next.Table = table.Version
 	}
@@ -291,7 +306,7 @@
 	if peer == nil || s.silent(peer) {
 		s.log.Info("peer heard", zap.String("peer", heard.Name), zap.String("address", heard.Addr))
 	}
-	s.peers[heard.Name] = &Peer{Name: heard.Name, DataCentre: heard.Zone, Address: heard.Addr, boot: heard.Boot, seq: heard.Seq, silentBy: now.Add(silentAfter)}
+	s.peers[heard.Name] = &Peer{Name: heard.Name, DataCentre: heard.Zone, Address: heard.Addr, leaving: heard.Leaving, boot: heard.Boot, seq: heard.Seq, silentBy: now.Add(silentAfter)}
 	if heard.Lead {
 		s.leader = heard.Name
 	}
