--- a/placer/placer.go
+++ b/placer/placer.go
@@ -56,8 +56,8 @@
 	DataCentre string
 	// Newest is the newest version of its model.
 	Newest int
-	// Expired reports that older versions should be out of use by now.
-	Expired bool
+	// Floor is the oldest version that should still be in use.
+	Floor int
 }
 
 // Candidate is an endpoint that may be chosen.
@@ -99,9 +99,12 @@
 func Choose(need Need, candidates []Candidate) Choice {
 	source := richest(candidates)
 	best := Choice{Place: -1, Fetch: -1}
-	expired := need.Expired && anyNewest(need, candidates)
+	floor := need.Floor
+	if !anyAbove(floor, candidates) {
+		floor = 0
+	}
 	for place, candidate := range candidates {
-		if candidate.Barred || candidate.View.Left || expired && candidate.View.Weights < need.Newest {
+		if candidate.Barred || candidate.View.Left || candidate.View.Weights < floor {
 			continue
 		}
 		choice := weigh(need, candidates, place, source)
@@ -112,11 +115,11 @@
 	return best
 }
 
-// anyNewest reports whether an endpoint has the newest weights. While none
-// has, an answer on older ones is better than none.
-func anyNewest(need Need, candidates []Candidate) bool {
+// anyAbove reports whether an endpoint has weights in use. While none has, an
+// answer on older ones is better than none.
+func anyAbove(floor int, candidates []Candidate) bool {
 	for _, candidate := range candidates {
-		if !candidate.View.Left && candidate.View.Weights >= need.Newest {
+		if !candidate.View.Left && candidate.View.Weights >= floor {
 			return true
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,10 +19,35 @@
 // last answers are still counted.
 const forgetAfter = 10 * time.Second
 
-// Named is the newest version of a model's weights, with when it was heard of.
-type Named struct {
-	Version int
-	Since   time.Time
+// Named is the versions of a model's weights that were heard of, in order.
+type Named []Version
+
+// Version is a version of weights with when it was heard of.
+type Version struct {
+	Number int
+	Since  time.Time
+}
+
+// mostVersions bounds how many versions of a model are remembered.
+const mostVersions = 16
+
+// Newest returns the newest version, 0 if there is none.
+func (n Named) Newest() int {
+	if len(n) == 0 {
+		return 0
+	}
+	return n[len(n)-1].Number
+}
+
+// Floor returns the newest version that was heard of before at, 0 if none was.
+func (n Named) Floor(at time.Time) int {
+	floor := 0
+	for _, version := range n {
+		if version.Since.Before(at) {
+			floor = version.Number
+		}
+	}
+	return floor
 }
 
 // Fleet is the endpoints at one moment. It must not be changed.
@@ -71,10 +97,10 @@
 // Fleet returns the endpoints.
 func (r *Registrar) Fleet() *Fleet { return r.fleet.Load() }
 
-// Newest returns the newest version of a model, 0 if none was heard of.
-func (r *Registrar) Newest(model string) Named { return r.weights.Load()[model] }
+// Named returns the versions of a model that were heard of.
+func (r *Registrar) Named(model string) Named { return r.weights.Load()[model] }
 
-// Weights returns the newest versions by model.
+// Weights returns the versions that were heard of by model.
 func (r *Registrar) Weights() map[string]Named { return r.weights.Load() }
 
 // PutTable takes in a configuration unless a newer one is in force, and
@@ -99,7 +125,7 @@
 func (r *Registrar) PutWeights(model string, version int, now time.Time) bool {
 	put := false
 	r.weights.Update(func(old map[string]Named) map[string]Named {
-		if old[model].Version >= version {
+		if old[model].Newest() >= version {
 			return old
 		}
 		put = true
@@ -107,7 +133,11 @@
 		if next == nil {
 			next = map[string]Named{}
 		}
-		next[model] = Named{Version: version, Since: now}
+		known := old[model]
+		if len(known) == mostVersions {
+			known = known[1:]
+		}
+		next[model] = append(slices.Clone(known), Version{Number: version, Since: now})
 		return next
 	})
 	return put
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -245,9 +245,8 @@
 	monitors := r.beliefs.Fleet().Pool(request.Pool.Name)
 	need := placer.Need{Prompt: request.Prompt, Output: request.Output, DataCentre: r.dataCentre}
 	if request.Model != "" {
-		newest := r.beliefs.Newest(request.Model)
-		need.Newest = newest.Version
-		need.Expired = now.Sub(newest.Since) > r.expiry
+		named := r.beliefs.Named(request.Model)
+		need.Newest, need.Floor = named.Newest(), named.Floor(now.Add(-r.expiry))
 	}
 	candidates := make([]placer.Candidate, len(monitors))
 	for i, one := range monitors {
--- a/roller/plan.go
+++ b/roller/plan.go
@@ -23,14 +23,20 @@
 	return max(1, (engines+loadShare/2)/loadShare*drainShare-1)
 }
 
-// Plan returns the engines to order next, those that finish soonest first, so
-// that few requests begin on old weights and the others carry the load.
+// Plan returns the engines to order next: those with the oldest weights first,
+// and of these the ones that finish soonest, so that few requests begin on old
+// weights and the others carry the load.
 func Plan(engines int, busy int, old []Step) []Step {
 	room := width(engines) - busy
 	if room <= 0 {
 		return nil
 	}
 	next := append([]Step(nil), old...)
-	sort.SliceStable(next, func(a, b int) bool { return next[a].Flight < next[b].Flight })
+	sort.SliceStable(next, func(a, b int) bool {
+		if next[a].Version != next[b].Version {
+			return next[a].Version < next[b].Version
+		}
+		return next[a].Flight < next[b].Flight
+	})
 	return next[:min(room, len(next))]
 }
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -170,17 +170,17 @@
 	var tasks []task
 	now := time.Now()
 	for model, named := range r.beliefs.Weights() {
-		t := task{model: model, version: named.Version}
+		t := task{model: model, version: named.Newest()}
 		for _, one := range r.beliefs.Fleet().All() {
 			view := one.View(model, now)
 			if view.Weights == 0 || view.Leaving {
 				continue
 			}
 			t.engines++
-			if view.Weights < named.Version {
+			if view.Weights < named.Newest() {
 				t.behind++
 			}
-			if view.Weights < named.Version && !r.isBusy(one.Key) {
+			if view.Weights < named.Newest() && !r.isBusy(one.Key) {
 				t.old = append(t.old, Step{Place: one, Flight: view.Load.Requests, Version: view.Weights})
 			}
 		}
