--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -138,29 +138,42 @@
 	m.peers[peer] = peerLoad{load: load, staleBy: now.Add(peerStale)}
 }
 
-// Keep notes that the endpoint holds a part.
-func (m *Monitor) Keep(part uint64, tokens int) {
+// Keep notes that the endpoint holds a part, or is about to if it is not ready.
+func (m *Monitor) Keep(part uint64, tokens int, ready bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.kept != nil {
-		m.kept.put(part, tokens)
+		m.kept.put(part, tokens, ready)
 	}
 }
 
-// Forget notes that the endpoint does not hold a part.
-func (m *Monitor) Forget(part uint64) {
+// GiveUp notes that a part that was not ready does not come.
+func (m *Monitor) GiveUp(part uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.kept != nil {
-		m.kept.remove(part)
+		m.kept.giveUp(part)
 	}
 }
 
-// Keeps reports whether the endpoint is believed to hold a part.
-func (m *Monitor) Keeps(part uint64) bool {
+// Keeps reports whether the endpoint is believed to hold a part or to read it
+// now, and whether it is ready.
+func (m *Monitor) Keeps(part uint64) (held, ready bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.kept != nil && m.kept.has(part)
+	if m.kept == nil {
+		return false, false
+	}
+	return m.kept.has(part)
+}
+
+// Empty notes that the endpoint holds nothing.
+func (m *Monitor) Empty() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept != nil {
+		m.kept = newShelf(m.kept.capacity)
+	}
 }
 
 // Leave notes that the endpoint leaves and must get nothing from by on. An
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -69,18 +69,23 @@
 	Barred bool
 }
 
-// Source is a place from which kept parts can be fetched.
+// Source is a place from which kept parts can be fetched: an engine or a store.
 type Source struct {
-	// Place is the index of the candidate that keeps the parts, -1 for none.
-	Place int
-	Kept  int
+	DataCentre string
+	// Kept is the number of tokens from the prompt's beginning that it keeps
+	// ready, for engines with these Weights.
+	Kept, Weights int
+	// LinkMbps is the rate of its link in Mbit/s.
+	LinkMbps float64
+	// Ahead is the number of tokens that wait for the link.
+	Ahead int
 }
 
 // Choice is a place with what is expected of it.
 type Choice struct {
 	// Place is the index of the candidate, -1 if there is none.
 	Place int
-	// Fetch is the index of the candidate to fetch parts from, or -1.
+	// Fetch is the index of the source to fetch parts from, or -1.
 	Fetch int
 	// Millis is the predicted time until the answer begins.
 	Millis float64
@@ -96,8 +101,7 @@
 
 // Choose returns the place of least cost, one with room if there is any, and
 // with it where parts are fetched.
-func Choose(need Need, candidates []Candidate) Choice {
-	source := richest(candidates)
+func Choose(need Need, candidates []Candidate, sources []Source) Choice {
 	best := Choice{Place: -1, Fetch: -1}
 	floor := need.Floor
 	if !anyAbove(floor, candidates) {
@@ -107,7 +111,7 @@
 		if candidate.Barred || candidate.View.Left || candidate.View.Weights < floor {
 			continue
 		}
-		choice := weigh(need, candidates, place, source)
+		choice := weigh(need, candidate, place, sources)
 		if best.Place < 0 || best.Full && !choice.Full || best.Full == choice.Full && choice.Cost < best.Cost {
 			best = choice
 		}
@@ -126,19 +130,9 @@
 	return false
 }
 
-// richest returns the candidate that keeps most of the prompt.
-func richest(candidates []Candidate) Source {
-	source := Source{Place: -1}
-	for place, candidate := range candidates {
-		if candidate.Kept > source.Kept && !candidate.View.Shunned && !candidate.View.Loading && !candidate.View.Left {
-			source = Source{Place: place, Kept: candidate.Kept}
-		}
-	}
-	return source
-}
-
-func weigh(need Need, candidates []Candidate, place int, source Source) Choice {
-	view := candidates[place].View
+// weigh predicts what comes of one place.
+func weigh(need Need, candidate Candidate, place int, sources []Source) Choice {
+	view := candidate.View
 	choice := Choice{Place: place, Fetch: -1}
 	if view.Engine == nil {
 		choice.Neutral = serviceMillis * (1 + float64(max(0, view.Load.Requests+1-view.Entry.Slots)))
@@ -146,19 +140,17 @@
 		choice.Cost = choice.Millis + float64(view.Load.Requests) + penalties(need, view)
 		return choice
 	}
-	choice.Unread = max(need.Prompt-candidates[place].Kept, 1)
+	choice.Unread = max(need.Prompt-candidate.Kept, 1)
 	fetch := 0.0
-	gain := source.Kept - candidates[place].Kept
-	if source.Place >= 0 && gain > 0 && candidates[source.Place].View.Weights == view.Weights {
-		fetch = view.Engine.TransferMillis(gain)
-		if candidates[source.Place].View.Entry.DataCentre != view.Entry.DataCentre {
-			fetch *= crossTransfer
+	for i, source := range sources {
+		gain := source.Kept - candidate.Kept
+		if gain <= 0 || source.Weights != view.Weights {
+			continue
 		}
-		if fetch < float64(gain)/tokensPerMilli*view.Scale {
-			choice.Fetch = source.Place
-			choice.Unread = max(need.Prompt-source.Kept, 1)
-		} else {
-			fetch = 0
+		millis := transfer(view, source, gain)
+		saved := float64(choice.Unread-(need.Prompt-source.Kept)) / tokensPerMilli * view.Scale
+		if millis-fetch < saved {
+			choice.Fetch, choice.Unread, fetch = i, max(need.Prompt-source.Kept, 1), millis
 		}
 	}
 	choice.Neutral = baseMillis + float64(view.Load.Unread+choice.Unread)/tokensPerMilli + requestMillis*float64(view.Load.Requests)
@@ -168,6 +160,15 @@
 	return choice
 }
 
+// transfer returns the time in which gain tokens come from source.
+func transfer(view monitor.View, source Source, gain int) float64 {
+	millis := view.Engine.TransferMillis(gain+source.Ahead, source.LinkMbps)
+	if source.DataCentre != view.Entry.DataCentre {
+		millis *= crossTransfer
+	}
+	return millis
+}
+
 // full reports whether a long prompt must wait for others to end.
 func full(need Need, view monitor.View) bool {
 	capacity := float64(view.Engine.Capacity)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -55,6 +55,15 @@
 	byName map[string]*monitor.Monitor
 	byKey  map[uint64]*monitor.Monitor
 	pools  map[string][]*monitor.Monitor
+	stores []*monitor.Monitor
+}
+
+// Stores returns the stores of cached parts.
+func (f *Fleet) Stores() []*monitor.Monitor {
+	if f == nil {
+		return nil
+	}
+	return f.stores
 }
 
 // Pool returns the endpoints of a pool.
@@ -115,7 +124,7 @@
 		return table
 	})
 	if put {
-		r.fleet.Update(func(old *Fleet) *Fleet { return r.rebuilt(old.All()) })
+		r.fleet.Update(func(old *Fleet) *Fleet { return r.rebuilt(old.All(), old.Stores()) })
 	}
 	return put
 }
@@ -176,12 +185,12 @@
 				known.Stay()
 			}
 		}
-		return r.rebuilt(byName)
+		return r.rebuilt(byName, old.Stores())
 	})
 }
 
 // rebuilt returns a fleet of monitors with the engines of the table in force.
-func (r *Registrar) rebuilt(byName map[string]*monitor.Monitor) *Fleet {
+func (r *Registrar) rebuilt(byName map[string]*monitor.Monitor, stores []*monitor.Monitor) *Fleet {
 	fleet := &Fleet{byName: byName, byKey: map[uint64]*monitor.Monitor{}, pools: map[string][]*monitor.Monitor{}}
 	for _, one := range byName {
 		entry := one.Entry()
@@ -189,9 +198,34 @@
 		fleet.byKey[one.Key] = one
 		fleet.pools[entry.Pool] = append(fleet.pools[entry.Pool], one)
 	}
+	fleet.stores = r.stores(stores)
+	for _, one := range fleet.stores {
+		fleet.byKey[one.Key] = one
+	}
 	return fleet
 }
 
+// stores returns the stores of the table in force, those that are known with
+// what they are believed to hold.
+func (r *Registrar) stores(known []*monitor.Monitor) []*monitor.Monitor {
+	table := r.table.Load()
+	if table == nil {
+		return known
+	}
+	var stores []*monitor.Monitor
+	for _, store := range table.Stores {
+		entry := monitor.Entry{Name: store.Name, Address: store.Address, DataCentre: store.DataCentre}
+		one := monitor.New(key(entry), entry, &router.Engine{Capacity: store.Capacity, LinkMbps: store.LinkMbps})
+		for _, old := range known {
+			if old.Key == one.Key {
+				one = old
+			}
+		}
+		stores = append(stores, one)
+	}
+	return stores
+}
+
 func (r *Registrar) engine(pool string) *router.Engine {
 	table := r.table.Load()
 	if table == nil {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -39,6 +39,10 @@
 	sentAt  time.Time
 	weights int
 	written chan error
+	// store is where the parts are sent, nil for nowhere.
+	store *monitor.Monitor
+	// transfer is what waits for the link of the store that is fetched from.
+	transfer monitor.Load
 	// closeBy is when the endpoint closes the connection, zero if unknown.
 	closeBy time.Time
 }
@@ -52,6 +56,13 @@
 	t.load = monitor.Load{Requests: 1, Unread: t.unread, Memory: c.request.Prompt + c.request.Output}
 	c.place.Begin(t.load)
 	defer func() { c.place.End(t.load) }()
+	if len(c.request.Parts) > 0 {
+		t.store = r.saves(t)
+		r.keeps(t, false)
+		defer t.giveUp()
+		t.fetching()
+		defer t.fetched()
+	}
 	conn, err := r.pool.Get(t.entry.Address, false)
 	if err != nil {
 		c.place.Failed(r.now())
@@ -130,6 +141,9 @@
 	if t.source != nil {
 		send.Fetch = t.source.Entry().Address
 	}
+	if t.store != nil {
+		send.Save = t.store.Entry().Address
+	}
 	return send
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +50,7 @@
 	rule       budgeter.Rule
 	dataCentre string
 	expiry     time.Duration
-	keep       func(place *monitor.Monitor, part uint64, tokens int)
+	keep       func(place *monitor.Monitor, part uint64, tokens int, ready bool)
 	alarm      func(quarantiner.Case)
 	count      *counter.Counter
 	log        *zap.Logger
@@ -77,7 +76,7 @@
 	// of use.
 	Expiry time.Duration
 	// Keep tells the other instances that an endpoint keeps a part.
-	Keep func(place *monitor.Monitor, part uint64, tokens int)
+	Keep func(place *monitor.Monitor, part uint64, tokens int, ready bool)
 	// Alarm tells the other instances of a request that crashed an endpoint.
 	Alarm func(quarantiner.Case)
 	Count *counter.Counter
@@ -248,38 +247,64 @@
 		named := r.beliefs.Named(request.Model)
 		need.Newest, need.Floor = named.Newest(), named.Floor(now.Add(-r.expiry))
 	}
+	if len(monitors) == 0 {
+		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is known", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
+	}
 	candidates := make([]placer.Candidate, len(monitors))
-	for i, one := range monitors {
+	var sources []placer.Source
+	var holders []*monitor.Monitor
+	offset := rand.IntN(len(monitors)) // equal costs go to different places
+	for i := range monitors {
+		one := monitors[(i+offset)%len(monitors)]
 		view := one.View(request.Model, now)
-		candidates[i] = placer.Candidate{View: view, Kept: keptTokens(one, request, view.Weights), Barred: c.has(one)}
+		held, ready := keptTokens(one, request, view.Weights)
+		candidates[i] = placer.Candidate{View: view, Kept: held, Barred: c.has(one)}
+		if ready > 0 && !view.Shunned && !view.Loading && !view.Left {
+			sources = append(sources, placer.Source{DataCentre: view.Entry.DataCentre, Kept: ready, Weights: view.Weights, LinkMbps: view.Engine.LinkMbps})
+			holders = append(holders, one)
+		}
 	}
-	offset := 0
-	if len(candidates) > 0 {
-		offset = rand.IntN(len(candidates)) // equal costs go to different places
+	for _, store := range r.stores(request) {
+		view := store.View("", now)
+		if _, ready := keptTokens(store, request, need.Newest); ready > 0 && !view.Shunned {
+			sources = append(sources, placer.Source{DataCentre: view.Entry.DataCentre, Kept: ready, Weights: need.Newest, LinkMbps: view.Engine.LinkMbps, Ahead: view.Load.Unread})
+			holders = append(holders, store)
+		}
 	}
-	candidates = slices.Concat(candidates[offset:], candidates[:offset])
-	choice := placer.Choose(need, candidates)
+	choice := placer.Choose(need, candidates, sources)
 	if choice.Place < 0 {
 		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is left", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
 	}
-	at := func(place int) *monitor.Monitor { return monitors[(place+offset)%len(monitors)] }
-	c.choice, c.place, c.source = choice, at(choice.Place), nil
+	c.choice, c.place, c.source = choice, monitors[(choice.Place+offset)%len(monitors)], nil
 	if choice.Fetch >= 0 {
-		c.source = at(choice.Fetch)
+		c.source = holders[choice.Fetch]
 	}
 	return nil
 }
 
-// keptTokens returns how much of the prompt's beginning the endpoint keeps.
-func keptTokens(one *monitor.Monitor, request *requester.Request, weights int) int {
-	kept := 0
+// stores returns the stores that may keep parts of the request's prompt.
+func (r *Relayer) stores(request *requester.Request) []*monitor.Monitor {
+	if len(request.Parts) == 0 {
+		return nil
+	}
+	return r.beliefs.Fleet().Stores()
+}
+
+// keptTokens returns how much of the prompt's beginning the endpoint keeps or
+// is reading, and how much of it is ready.
+func keptTokens(one *monitor.Monitor, request *requester.Request, weights int) (held, ready int) {
+	all := true
 	for _, part := range request.Parts {
-		if !one.Keeps(partKey(request, weights, part)) {
+		has, done := one.Keeps(partKey(request, weights, part))
+		if !has {
 			break
 		}
-		kept += part.Tokens
+		held += part.Tokens
+		if all = all && done; all {
+			ready = held
+		}
 	}
-	return kept
+	return held, ready
 }
 
 // again decides whether the request goes to another endpoint after cause.
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -88,22 +88,10 @@
 	t.unread = 0
 	now := r.now()
 	t.place.Answered(float64(now.Sub(t.sentAt).Milliseconds()), t.choice.Neutral, now)
-	for _, part := range t.request.Parts {
-		if part.Tokens < leastPart {
-			break
-		}
-		key := partKey(t.request, t.weights, part)
-		if !t.place.Keeps(key) {
-			r.keep(t.place, key, part.Tokens)
-		}
-		t.place.Keep(key, part.Tokens)
-	}
+	r.keeps(t, true)
+	t.fetched()
 }
 
-// leastPart is the size in tokens below which it does not matter where a part
-// is kept: reading it takes less than a step of an engine.
-const leastPart = 128
-
 // wholeEvents returns the length of the whole events at the beginning of data.
 func wholeEvents(data []byte) int {
 	end := 0
--- a/router/router.go
+++ b/router/router.go
@@ -82,6 +82,15 @@
 	Models []string
 }
 
+// Store is a store of cached parts, which serves no requests.
+type Store struct {
+	Name, Address, DataCentre string
+	// Capacity is in tokens.
+	Capacity int
+	// LinkMbps is the rate of its link in Mbit/s.
+	LinkMbps float64
+}
+
 // Limits bound what a caller may send.
 type Limits struct {
 	// Header and Body are in bytes.
@@ -92,17 +101,17 @@
 
 // Table is one version of the configuration. It must not be changed.
 type Table struct {
-	Version    int64
-	Limits     Limits
-	Pools      map[string]Pool
-	Keys       map[string]Workspace
-	Workspaces int
-	hosts      map[string][]Route
+	Version int64
+	Limits  Limits
+	Pools   map[string]Pool
+	Keys    map[string]Workspace
+	Stores  []Store
+	hosts   map[string][]Route
 }
 
 // New returns the table of a version with its routes.
-func New(version int64, routes []Route, pools []Pool, keys map[string]Workspace, limits Limits) *Table {
-	t := &Table{Version: version, Limits: limits, Pools: map[string]Pool{}, Keys: keys, hosts: map[string][]Route{}}
+func New(version int64, routes []Route, pools []Pool, stores []Store, keys map[string]Workspace, limits Limits) *Table {
+	t := &Table{Version: version, Limits: limits, Pools: map[string]Pool{}, Stores: stores, Keys: keys, hosts: map[string][]Route{}}
 	for _, route := range routes {
 		t.hosts[route.Host] = append(t.hosts[route.Host], route)
 	}
@@ -171,10 +180,11 @@
 }
 
 // TransferMillis returns the time in milliseconds that the cached form of so
-// many tokens takes on a link.
-func (e *Engine) TransferMillis(tokens int) float64 {
-	if e.LinkMbps <= 0 {
+// many tokens takes on the slower of an engine's link and another.
+func (e *Engine) TransferMillis(tokens int, other float64) float64 {
+	slower := min(e.LinkMbps, other)
+	if slower <= 0 {
 		return 0
 	}
-	return float64(tokens) * float64(e.TokenBytes) * 8 / (e.LinkMbps * 1000)
+	return float64(tokens) * float64(e.TokenBytes) * 8 / (slower * 1000)
 }
--- a/sharer/note.go
+++ b/sharer/note.go
@@ -22,11 +22,13 @@
 	// Table is the version of its configuration.
 	Table int64 `json:"t,omitempty"`
 	// Full reports that endpoints that are not named carry none of its load.
-	Full    bool               `json:"f,omitempty"`
-	Loads   []load             `json:"l,omitempty"`
-	Parts   []part             `json:"p,omitempty"`
-	Weights []weights          `json:"w,omitempty"`
-	Cases   []quarantiner.Case `json:"c,omitempty"`
+	Full    bool      `json:"f,omitempty"`
+	Loads   []load    `json:"l,omitempty"`
+	Parts   []part    `json:"p,omitempty"`
+	Weights []weights `json:"w,omitempty"`
+	// Empty names stores that have lost all parts.
+	Empty []uint64           `json:"y,omitempty"`
+	Cases []quarantiner.Case `json:"c,omitempty"`
 	// Lead reports that the sender holds the lease on orders.
 	Lead bool `json:"h,omitempty"`
 	// Leaving reports that the sender is about to end, Gone that it ends now.
@@ -45,6 +47,8 @@
 	Key    uint64 `json:"k"`
 	Part   uint64 `json:"p"`
 	Tokens int    `json:"t"`
+	// Soon reports that the part is being read.
+	Soon bool `json:"s,omitempty"`
 }
 
 // weights tells which version an endpoint has, or that it loads it for so
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -64,6 +66,7 @@
 	parts  []part
 	news   []weights
 	cases  []quarantiner.Case
+	empty  []uint64
 	leader string
 	lead   bool
 	gone   bool
@@ -136,12 +139,12 @@
 	}
 }
 
-// Keep tells that an endpoint keeps a part.
-func (s *Sharer) Keep(place *monitor.Monitor, key uint64, tokens int) {
+// Keep tells that an endpoint keeps a part, or is about to if it is not ready.
+func (s *Sharer) Keep(place *monitor.Monitor, key uint64, tokens int, ready bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.parts) < 2*mostParts {
-		s.parts = append(s.parts, part{Key: place.Key, Part: key, Tokens: tokens})
+		s.parts = append(s.parts, part{Key: place.Key, Part: key, Tokens: tokens, Soon: !ready})
 	}
 }
 
@@ -162,6 +165,14 @@
 	s.tell(true)
 }
 
+// Emptied tells that a store has lost all parts, at once.
+func (s *Sharer) Emptied(store *monitor.Monitor) {
+	s.mu.Lock()
+	s.empty = append(s.empty, store.Key)
+	s.mu.Unlock()
+	s.tell(true)
+}
+
 // Leave tells that this instance is about to end, or that it ends now.
 func (s *Sharer) Leave(now bool) {
 	s.mu.Lock()
@@ -219,7 +230,9 @@
 	if table := s.beliefs.Table(); table != nil {
 		next.Table = table.Version
 	}
-	for _, one := range s.beliefs.Fleet().All() {
+	fleet := s.beliefs.Fleet()
+	all := append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...)
+	for _, one := range all {
 		own := one.Own()
 		if own == s.told[one.Key] && !(rest && own != monitor.Load{}) {
 			continue
@@ -231,6 +244,7 @@
 	next.Parts, s.parts = s.parts[:taken], s.parts[taken:]
 	next.Weights, s.news = s.news, nil
 	next.Cases, s.cases = s.cases, nil
+	next.Empty, s.empty = s.empty, nil
 	return next
 }
 
@@ -266,7 +280,7 @@
 		}
 	}
 	if heard.Full {
-		for _, one := range fleet.All() {
+		for _, one := range append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...) {
 			if !named[one.Key] {
 				one.Told(heard.Name, monitor.Load{}, now)
 			}
@@ -274,7 +288,7 @@
 	}
 	for _, p := range heard.Parts {
 		if one := fleet.Key(p.Key); one != nil {
-			one.Keep(p.Part, p.Tokens)
+			one.Keep(p.Part, p.Tokens, !p.Soon)
 		}
 	}
 	for _, w := range heard.Weights {
@@ -284,6 +298,11 @@
 			one.SetWeights(w.Model, w.Version)
 		}
 	}
+	for _, key := range heard.Empty {
+		if one := fleet.Key(key); one != nil {
+			one.Empty()
+		}
+	}
 	s.ward.Merge(heard.Cases, now)
 	if table := s.beliefs.Table(); table == nil || heard.Table > table.Version {
 		s.newer()
--- a/speaker/speaker.go
+++ b/speaker/speaker.go
@@ -21,6 +21,8 @@
 	Salt string
 	// Fetch is the address from which cached parts are fetched, or "".
 	Fetch string
+	// Save is the address of the store to which parts are sent, or "".
+	Save string
 	// LastEvent is the last event that the caller has, or "".
 	LastEvent string
 }
