--- /dev/null
+++ b/budgeter/budget_test.go
@@ -0,0 +1,62 @@
+package budgeter_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"wisteriadrum/budgeter"
+)
+
+// In no window are there more retries than the rule allows for the requests
+// of that window and the one before, over all instances together.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		rule := budgeter.Rule{Ratio: 0.2, Slack: 12, Window: int(window.Milliseconds())}
+		now := time.Unix(1000, 0)
+		instances := rapid.IntRange(1, 4).Draw(t, "instances")
+		var budgets []*budgeter.Budget
+		for range instances {
+			budget := budgeter.New(rule, func() time.Time { return now })
+			budget.Share(instances)
+			budgets = append(budgets, budget)
+		}
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				budget.Earn()
+				requests = append(requests, now)
+			} else if budget.Spend() {
+				retries = append(retries, now)
+			}
+			spent, earned := within(retries, now.Add(-window), now), within(requests, now.Add(-window-window/10), now)
+			assert.Assert(t, float64(spent) <= rule.Ratio*float64(earned)+rule.Slack+float64(instances), "%d retries for %d requests", spent, earned)
+		}
+	})
+}
+
+func within(times []time.Time, after, until time.Time) int {
+	count := 0
+	for _, at := range times {
+		if at.After(after.Add(time.Second)) && !at.After(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// The time of day may jump back without giving the budget anew.
+func TestSpentIsSpent(t *testing.T) {
+	now := time.Now()
+	budget := budgeter.New(budgeter.Rule{Slack: 2, Window: 10000}, func() time.Time { return now })
+	assert.Assert(t, budget.Spend())
+	assert.Assert(t, budget.Spend())
+	assert.Assert(t, !budget.Spend())
+	now = now.Add(11 * time.Second)
+	assert.Assert(t, budget.Spend())
+}
--- /dev/null
+++ b/feeder/feeder_test.go
@@ -0,0 +1,100 @@
+package feeder_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/feeder"
+)
+
+// script is a source that answers by a list, then waits.
+type script struct {
+	mu    sync.Mutex
+	steps []step
+	calls []string
+	after []uint64
+}
+
+type step struct {
+	call string
+	page feeder.Page
+	err  error
+}
+
+func (s *script) next(ctx context.Context, call string, after uint64) (feeder.Page, error) {
+	s.mu.Lock()
+	s.calls, s.after = append(s.calls, call), append(s.after, after)
+	if len(s.steps) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return feeder.Page{}, ctx.Err()
+	}
+	first := s.steps[0]
+	s.steps = s.steps[1:]
+	s.mu.Unlock()
+	return first.page, first.err
+}
+
+func (s *script) Read(ctx context.Context, _ string) (feeder.Page, error) {
+	return s.next(ctx, "read", 0)
+}
+
+func (s *script) Watch(ctx context.Context, _ string, after uint64) (feeder.Page, error) {
+	return s.next(ctx, "watch", after)
+}
+
+func page(version uint64, keys ...string) feeder.Page {
+	p := feeder.Page{Version: version}
+	for _, key := range keys {
+		p.Rows = append(p.Rows, feeder.Row{Key: key})
+	}
+	return p
+}
+
+// The table is read whole first and when the history is gone; changes go on
+// where they ended, also after failures; what is older than known is not
+// taken in.
+func TestFollowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &script{steps: []step{
+			{err: errors.New("down")},
+			{page: page(5, "a", "b")},
+			{page: page(7, "c")},
+			{err: errors.New("cut")},
+			{page: page(8)},
+			{err: feeder.ErrHistory},
+			{page: page(6, "stale")},
+			{page: page(9, "a")},
+		}}
+		var mu sync.Mutex
+		var applied []string
+		apply := func(rows []feeder.Row, whole bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, row := range rows {
+				applied = append(applied, row.Key)
+			}
+			if whole {
+				applied = append(applied, "whole")
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		feed := feeder.New(source, "table", apply, counter.New(metrics.NewRegistry()), zap.NewNop())
+		go feed.Run(ctx)
+		time.Sleep(30 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.DeepEqual(t, applied, []string{"a", "b", "whole", "c", "a", "whole"})
+		assert.DeepEqual(t, source.calls, []string{"read", "read", "watch", "watch", "watch", "watch", "read", "read", "watch"})
+		assert.DeepEqual(t, source.after, []uint64{0, 0, 5, 7, 7, 8, 0, 0, 9})
+	})
+}
--- /dev/null
+++ b/framer/head_test.go
@@ -0,0 +1,140 @@
+package framer_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/framer"
+)
+
+const headLimit = 1024
+
+func read(text string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(text), 32) }
+
+// Messages that two readers could understand differently are refused.
+func TestRequestHeads(t *testing.T) {
+	for name, test := range map[string]struct {
+		text   string
+		length int64
+		err    error
+	}{
+		"plain":                {"GET /a?b=%2f HTTP/1.1\r\nHost: h\r\n\r\n", 0, nil},
+		"length":               {"POST / HTTP/1.1\r\nContent-Length: 12\r\n\r\n", 12, nil},
+		"chunked":              {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", framer.Chunked, nil},
+		"two lengths":          {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 0, framer.ErrMalformed},
+		"length list":          {"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n", 0, framer.ErrMalformed},
+		"length and chunked":   {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 0, framer.ErrMalformed},
+		"signed length":        {"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 0, framer.ErrMalformed},
+		"negative length":      {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 0, framer.ErrMalformed},
+		"other coding":         {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 0, framer.ErrCoding},
+		"hidden coding":        {"POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n", 0, framer.ErrMalformed},
+		"chunked in 1.0":       {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 0, framer.ErrMalformed},
+		"folded line":          {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 0, framer.ErrMalformed},
+		"bare line feed":       {"GET / HTTP/1.1\nA: b\n\n", 0, framer.ErrMalformed},
+		"carriage return":      {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", 0, framer.ErrMalformed},
+		"no version":           {"GET /\r\n\r\n", 0, framer.ErrMalformed},
+		"space in target":      {"GET /a b HTTP/1.1\r\n\r\n", 0, framer.ErrMalformed},
+		"other version":        {"GET / HTTP/2.0\r\n\r\n", 0, framer.ErrMalformed},
+		"too large":            {"GET / HTTP/1.1\r\nA: " + strings.Repeat("b", headLimit) + "\r\n\r\n", 0, framer.ErrTooLarge},
+		"ended before it came": {"", 0, io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			head, err := framer.ReadRequest(read(test.text), headLimit)
+			if test.err != nil {
+				assert.ErrorIs(t, err, test.err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, head.Length, test.length)
+		})
+	}
+}
+
+func TestResponseHeads(t *testing.T) {
+	for name, test := range map[string]struct {
+		text, method string
+		length       int64
+	}{
+		"length":             {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "GET", 3},
+		"until close":        {"HTTP/1.1 200\r\n\r\n", "GET", framer.UntilClose},
+		"no content":         {"HTTP/1.1 204 No Content\r\n\r\n", "GET", 0},
+		"to HEAD":            {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD", 0},
+		"after interim ones": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "POST", 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			head, err := framer.ReadResponse(read(test.text), headLimit, test.method)
+			assert.NilError(t, err)
+			assert.Equal(t, head.Length, test.length)
+		})
+	}
+	_, err := framer.ReadResponse(read("garbage without a version\r\n\r\n"), headLimit, "GET")
+	assert.ErrorIs(t, err, framer.ErrMalformed)
+}
+
+// A body is whole only at its own end, whatever the connection does.
+func TestBodies(t *testing.T) {
+	for name, test := range map[string]struct {
+		length int64
+		text   string
+		body   string
+		err    error
+	}{
+		"counted":           {4, "bodymore", "body", nil},
+		"counted, cut":      {8, "body", "", io.ErrUnexpectedEOF},
+		"chunked":           {framer.Chunked, "4;x=y\r\nbody\r\n3\r\nend\r\n0\r\nT: v\r\n\r\nmore", "bodyend", nil},
+		"chunked, cut":      {framer.Chunked, "4\r\nbody\r\n", "", io.ErrUnexpectedEOF},
+		"chunk cut":         {framer.Chunked, "4\r\nbo", "", io.ErrUnexpectedEOF},
+		"no end of trailer": {framer.Chunked, "0\r\nT: v\r\n", "", io.ErrUnexpectedEOF},
+		"long chunk":        {framer.Chunked, "2\r\nbody\r\n0\r\n\r\n", "", framer.ErrMalformed},
+		"bad size":          {framer.Chunked, "0x4\r\nbody\r\n0\r\n\r\n", "", framer.ErrMalformed},
+		"huge size":         {framer.Chunked, "ffffffffffff\r\n", "", framer.ErrMalformed},
+		"above the limit":   {framer.Chunked, "7\r\nmuchtoo\r\n9\r\nlarge4you\r\n0\r\n\r\n", "", framer.ErrTooLarge},
+		"until close":       {framer.UntilClose, "body", "body", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, err := (&framer.Head{Length: test.length}).ReadBody(read(test.text), 8)
+			if test.err != nil {
+				assert.ErrorIs(t, err, test.err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), test.body)
+		})
+	}
+}
+
+func TestHopFields(t *testing.T) {
+	head, err := framer.ReadRequest(read("GET / HTTP/1.1\r\nConnection: X-Own, close\r\nX-Own: a\r\nKeep-Alive: timeout=3\r\nX-Other: b\r\n\r\n"), headLimit)
+	assert.NilError(t, err)
+	assert.Assert(t, head.Close)
+	for name, hop := range map[string]bool{"x-own": true, "Keep-Alive": true, "Connection": true, "X-Other": false} {
+		assert.Equal(t, head.Hop(name), hop, name)
+	}
+}
+
+// Whatever comes, reading ends, and what is read whole was framed once.
+func FuzzRequest(f *testing.F) {
+	f.Add("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		reader := read(text)
+		head, err := framer.ReadRequest(reader, headLimit)
+		if err != nil {
+			return
+		}
+		lengths := 0
+		for _, field := range head.Fields {
+			if strings.EqualFold(field.Name, "Content-Length") || strings.EqualFold(field.Name, "Transfer-Encoding") {
+				lengths++
+			}
+		}
+		assert.Assert(t, lengths <= 1)
+		body, err := head.ReadBody(reader, headLimit)
+		assert.Assert(t, errors.Is(err, nil) || len(body) <= len(text))
+	})
+}
