--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -87,7 +87,7 @@
 	defer a.mu.Unlock()
 	left := 0
 	for s := range a.conns {
-		if s.busy.Load() {
+		if !s.state.CompareAndSwap(idle, closed) {
 			left++
 			continue
 		}
@@ -100,13 +100,13 @@
 func (a *Acceptor) Busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	busy := 0
+	count := 0
 	for s := range a.conns {
-		if s.busy.Load() {
-			busy++
+		if s.state.Load() == busy {
+			count++
 		}
 	}
-	return busy
+	return count
 }
 
 func (a *Acceptor) limits() router.Limits {
@@ -116,12 +116,20 @@
 	return defaults
 }
 
+// States of a connection. One that is closed for being idle serves no request
+// that has come meanwhile, since its answer would be lost.
+const (
+	idle int32 = iota
+	busy
+	closed
+)
+
 // session is one connection of a caller.
 type session struct {
 	*Acceptor
 	conn   net.Conn
 	reader *bufio.Reader
-	busy   atomic.Bool
+	state  atomic.Int32
 }
 
 func (s *session) run() {
@@ -138,11 +146,10 @@
 		if _, err := s.reader.Peek(1); err != nil {
 			return
 		}
-		s.busy.Store(true)
-		if !s.one() {
+		if !s.state.CompareAndSwap(idle, busy) || !s.one() {
 			return
 		}
-		s.busy.Store(false)
+		s.state.CompareAndSwap(busy, idle)
 	}
 }
 
@@ -216,7 +223,7 @@
 	if !answer.Reusable() {
 		return s.end(answer, watched)
 	}
-	s.busy.Store(false)
+	s.state.Store(idle)
 	if s.conn.SetReadDeadline(s.limits().IdleBy(s.now())) != nil {
 		return false
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -35,8 +35,9 @@
 
 const (
 	// balancerWait is the time in which a balancer that asks every second
-	// notices, by two answers, that an instance is not ready.
-	balancerWait = 3 * time.Second
+	// notices, by two answers, that an instance is not ready. What comes later
+	// may have to be cut at the end of the grace.
+	balancerWait = 2500 * time.Millisecond
 	// endMargin is kept before the end of the grace.
 	endMargin   = 700 * time.Millisecond
 	shareEvery  = time.Second
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,7 +25,7 @@
 	// runningShare is the share of an engine's memory that running requests may
 	// take before long prompts wait: the rest keeps parts, without which more
 	// must be read, and bounds the reading between the tokens of streams.
-	runningShare = 0.5
+	runningShare = 0.4
 	// longPrompt is the share of an engine's memory above which a prompt is long.
 	longPrompt = 0.015
 	// memoryFull is the share of memory above which engines preempt.
