--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -62,7 +62,7 @@
 			return nil
 		}
 		if err != nil {
-			a.log.Warn("connection not accepted", zap.Error(err))
+			a.log.Warn("connection not accepted", zap.String("error", err.Error()))
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -271,7 +271,7 @@
 	default:
 		return false
 	}
-	s.count.Add("requests", string(code))
+	s.count.Add("refusal", string(code))
 	answer := responder.New(s.conn, head, s.now, true)
 	s.write(answer, "", refuser.New(code, judge.NotRun, "the request could not be read: %s", err))
 	return false
@@ -284,8 +284,8 @@
 	if !errors.As(err, &refusal) {
 		refusal = refuser.New(refuser.BadRequest, judge.NotRun, "%s", err)
 	}
-	s.count.Add("requests", string(refusal.Code))
-	s.log.Info("request refused", zap.String("request", id), zap.String("outcome", string(refusal.Code)), zap.String("reason", refusal.Reason))
+	s.count.Add("refusal", string(refusal.Code))
+	s.log.Warn("request refused", zap.String("request", id), zap.String("outcome", string(refusal.Code)), zap.String("reason", refusal.Reason))
 	answer := responder.New(s.conn, head, s.now, s.leaving.Load())
 	s.write(answer, id, refusal)
 	return answer.Reusable()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -158,6 +158,7 @@
 	}
 	go c.share.Run(background)
 	go c.roll.Run(background)
+	go c.relay.Watch(background)
 	go c.meet(background)
 	go c.divide(background)
 	c.log.Info("instance serving", zap.String("name", c.options.Name), zap.String("caller", c.options.Caller))
@@ -228,7 +229,7 @@
 func (c *Conductor) meet(ctx context.Context) {
 	value, err := json.Marshal(peerRow{Zone: c.options.DataCentre, Addr: c.options.Peer})
 	if err != nil {
-		c.log.Error("row of this instance not encoded", zap.Error(err))
+		c.log.Error("row of this instance not encoded", zap.String("error", err.Error()))
 		return
 	}
 	written := false
@@ -237,14 +238,14 @@
 		pause = time.Second
 		if !written {
 			if err := c.ports.Put(ctx, "instance/"+c.options.Name, value); err != nil {
-				c.log.Warn("row of this instance not written", zap.Error(err))
+				c.log.Warn("row of this instance not written", zap.String("error", err.Error()))
 				continue
 			}
 			written = true
 		}
 		rows, err := c.ports.Peers(ctx)
 		if err != nil {
-			c.log.Warn("rows of the other instances not read", zap.Error(err))
+			c.log.Warn("rows of the other instances not read", zap.String("error", err.Error()))
 			continue
 		}
 		c.share.Meet(c.decode(rows))
@@ -266,7 +267,7 @@
 		}
 		if err != nil {
 			c.count.Add("rows", "malformed")
-			c.log.Warn("malformed row of an instance passed over", zap.String("key", row.Key), zap.Error(err))
+			c.log.Warn("malformed row of an instance passed over", zap.String("key", row.Key), zap.String("error", err.Error()))
 			continue
 		}
 		peers = append(peers, sharer.Peer{Name: row.Key[len(prefix):], DataCentre: decoded.Zone, Address: decoded.Addr})
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		if !lost && ctx.Err() == nil {
-			f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("after", f.after), zap.Error(err))
+			f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("after", f.after), zap.String("error", err.Error()))
 		}
 		lost = true
 		f.count.Add("store", "failed")
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -69,6 +69,7 @@
 	entry    Entry
 	engine   *router.Engine
 	own      Load
+	heard    time.Time
 	peers    map[string]peerLoad
 	kept     *shelf
 	weights  map[string]int
@@ -108,16 +109,43 @@
 	return m.entry
 }
 
-// Begin counts work of this instance.
-func (m *Monitor) Begin(load Load) {
+// Begin counts work of this instance that is sent at now.
+func (m *Monitor) Begin(load Load, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.own.Requests == 0 {
+		m.heard = now
+	}
 	m.own = m.own.Add(load)
 }
 
 // End takes back work that Begin counted.
 func (m *Monitor) End(load Load) {
-	m.Begin(Load{Requests: -load.Requests, Unread: -load.Unread, Memory: -load.Memory})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own = m.own.Add(Load{Requests: -load.Requests, Unread: -load.Unread, Memory: -load.Memory})
+}
+
+// Heard notes that the endpoint sent something at now.
+func (m *Monitor) Heard(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = now
+}
+
+// Silent returns for how long the endpoint has sent nothing although this
+// instance waits for it.
+func (m *Monitor) Silent(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.silent(now)
+}
+
+func (m *Monitor) silent(now time.Time) time.Duration {
+	if m.own.Requests == 0 {
+		return 0
+	}
+	return now.Sub(m.heard)
 }
 
 // Own returns the work of this instance.
@@ -259,6 +287,8 @@
 	// Shunned reports failures of late, Loading that weights are loaded,
 	// Leaving that the endpoint is about to leave, and Left that it has.
 	Shunned, Loading, Leaving, Left bool
+	// Silent is for how long it has sent nothing although it should.
+	Silent time.Duration
 	// Scale is the ratio of the endpoint's times to those predicted.
 	Scale float64
 }
@@ -280,7 +310,8 @@
 		Entry: m.entry, Engine: m.engine, Load: load, Weights: m.weights[model],
 		Shunned: m.shunBy.After(now), Loading: m.loadBy.After(now),
 		Leaving: !m.leaveBy.IsZero(), Left: !m.leaveBy.IsZero() && !now.Before(m.leaveBy),
-		Scale: (m.actual + scalePrior) / (m.expected + scalePrior),
+		Silent: m.silent(now),
+		Scale:  (m.actual + scalePrior) / (m.expected + scalePrior),
 	}
 }
 
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -20,7 +20,7 @@
 // told of late.
 func TestLoadIsShared(t *testing.T) {
 	m := engine()
-	m.Begin(monitor.Load{Requests: 1, Unread: 10, Memory: 20})
+	m.Begin(monitor.Load{Requests: 1, Unread: 10, Memory: 20}, start)
 	m.Told("peer", monitor.Load{Requests: 2, Unread: 5, Memory: 7}, start)
 	assert.Equal(t, m.View("m", start).Load, monitor.Load{Requests: 3, Unread: 15, Memory: 27})
 	assert.Equal(t, m.View("m", start.Add(2*time.Second)).Load, monitor.Load{Requests: 1, Unread: 10, Memory: 20}, "a silent peer's word ends")
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -39,6 +39,10 @@
 	crossTransfer = 2.0
 	// shunMillis is the penalty of an endpoint that failed of late.
 	shunMillis = 10000.0
+	// silentMillis is the silence in which an endpoint may do its work, for
+	// instance read a long prompt; what goes beyond counts silentWeight times.
+	silentMillis = 250.0
+	silentWeight = 3.0
 	// leaveMillis is the penalty of an endpoint that is about to leave.
 	leaveMillis = 20000.0
 	// oldMillis is the penalty of weights that are not the newest.
@@ -193,6 +197,7 @@
 	if view.Entry.DataCentre != need.DataCentre {
 		cost += crossMillis
 	}
+	cost += silentWeight * max(0, float64(view.Silent.Milliseconds())-silentMillis)
 	if view.Shunned {
 		cost += shunMillis
 	}
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -35,6 +35,7 @@
 	AnswerCrossed Code = "answer-crossed"
 	AnswerLost    Code = "answer-lost"
 	Timeout       Code = "timeout"
+	Silent        Code = "silent"
 	CallerGone    Code = "caller-gone"
 	Rejected      Code = "rejected"
 	SlowRequest   Code = "slow-request"
@@ -47,7 +48,7 @@
 	NoEndpoint: 503, NoSet: 503, Stopping: 503, Quarantined: 422,
 	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503,
 	UpstreamLost: 502, UpstreamBusy: 503, WrongWeights: 503,
-	AnswerCrossed: 502, AnswerLost: 502, Timeout: 504, CallerGone: 499,
+	AnswerCrossed: 502, AnswerLost: 502, Timeout: 504, Silent: 504, CallerGone: 499,
 	Rejected: 400, SlowRequest: 408, Internal: 500,
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"wisteriadrum/framer"
@@ -43,6 +44,10 @@
 	store *monitor.Monitor
 	// transfer is what waits for the link of the store that is fetched from.
 	transfer monitor.Load
+	// progress is when something came for this request last, in nanoseconds
+	// since sentAt; abandoned is set when too long nothing did.
+	progress  atomic.Int64
+	abandoned atomic.Bool
 	// closeBy is when the endpoint closes the connection, zero if unknown.
 	closeBy time.Time
 }
@@ -54,13 +59,13 @@
 		t.weights = c.place.Weights(c.request.Model)
 	}
 	t.load = monitor.Load{Requests: 1, Unread: t.unread, Memory: c.request.Prompt + c.request.Output}
-	c.place.Begin(t.load)
+	c.place.Begin(t.load, r.now())
 	defer func() { c.place.End(t.load) }()
 	if len(c.request.Parts) > 0 {
 		t.store = r.saves(t)
 		r.keeps(t, false)
 		defer t.giveUp()
-		t.fetching()
+		t.fetching(r.now())
 		defer t.fetched()
 	}
 	conn, err := r.pool.Get(t.entry.Address, false)
@@ -69,6 +74,8 @@
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "dial endpoint %s: %s", t.entry.Name, err)
 	}
 	t.conn = conn
+	t.sentAt = r.now()
+	defer r.watch(t)()
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reusable, refusal := r.exchange(ctx, t)
 	if !stop() || !reusable || conn.SetDeadline(time.Time{}) != nil {
@@ -109,7 +116,6 @@
 
 // send writes the request. Large ones are written beside the reading.
 func (r *Relayer) send(t *try) *refuser.Refusal {
-	t.sentAt = r.now()
 	t.sends++
 	buffer := make([]byte, 0, 1024+min(len(t.request.Body), writeApart))
 	buffer = r.speaker.Encode(buffer, t.request, t.terms(), t.sentAt)
@@ -169,6 +175,7 @@
 		if err != nil {
 			return nil, speaker.Answer{}, r.lost(ctx, t, err)
 		}
+		r.heard(t)
 		said := r.speaker.Answer(head)
 		if said.ID == t.request.ID || said.ID == "" && (said.NotRun || said.Moved) {
 			return head, said, nil
@@ -246,6 +253,9 @@
 	now := r.now()
 	t.place.Failed(now)
 	var timeout net.Error
+	if t.abandoned.Load() {
+		return refuser.New(refuser.Silent, judge.MayHaveRun, "endpoint %s sent nothing for %d ms", t.entry.Name, t.place.Silent(now).Milliseconds())
+	}
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return refuser.New(refuser.Timeout, judge.MayHaveRun, "endpoint %s did not answer in time", t.entry.Name)
 	}
--- a/relayer/keep.go
+++ b/relayer/keep.go
@@ -1,6 +1,8 @@
 package relayer
 
 import (
+	"time"
+
 	"wisteriadrum/monitor"
 )
 
@@ -56,12 +58,12 @@
 }
 
 // fetching counts the tokens that wait for a store's link.
-func (t *try) fetching() {
+func (t *try) fetching(now time.Time) {
 	if t.source == nil || t.source.Entry().Pool != "" {
 		return
 	}
 	t.transfer = monitor.Load{Requests: 1, Unread: t.request.Prompt - t.choice.Unread}
-	t.source.Begin(t.transfer)
+	t.source.Begin(t.transfer, now)
 }
 
 // fetched takes back what fetching counted.
--- /dev/null
+++ b/relayer/record.go
@@ -0,0 +1,64 @@
+package relayer
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/refuser"
+)
+
+// record counts and logs how a request ended.
+func (r *Relayer) record(c *course, refusal *refuser.Refusal) {
+	took := r.now().Sub(c.request.At)
+	r.count.Observe("answer.millis", took.Milliseconds())
+	if refusal != nil {
+		r.count.Add("refusal", string(refusal.Code))
+		r.log.Warn("request ended", append(r.inputs(c, took), outcome(refusal)...)...)
+		return
+	}
+	if c.request.Route.Stream {
+		r.count.Add("answers", "streamed")
+	} else {
+		r.count.Add("answers", "whole")
+	}
+	if entry := r.log.Check(zap.InfoLevel, "request ended"); entry != nil {
+		entry.Write(append(r.inputs(c, took), zap.String("outcome", "answered"))...)
+	}
+}
+
+// failed logs an attempt after which the request goes on.
+func (r *Relayer) failed(c *course, cause *refuser.Refusal) {
+	r.count.Add("retry", string(cause.Code))
+	fields := append(r.inputs(c, r.now().Sub(c.request.At)), outcome(cause)...)
+	r.log.Warn("attempt failed; the request goes on", fields...)
+}
+
+func outcome(refusal *refuser.Refusal) []zap.Field {
+	return []zap.Field{zap.String("outcome", string(refusal.Code)), zap.String("reason", refusal.Reason), zap.Stringer("verdict", refusal.Ran)}
+}
+
+// inputs returns what decided about a request, with its version or age.
+func (r *Relayer) inputs(c *course, took time.Duration) []zap.Field {
+	now := r.now()
+	fields := []zap.Field{
+		zap.String("request", c.request.ID), zap.String("route", c.request.Route.Name), zap.String("workspace", c.request.Workspace.Name),
+		zap.Int64("configuration", c.request.Table), zap.Int("sends", c.sends), zap.Int("runs", c.runs),
+		zap.Int64("millis", took.Milliseconds()), zap.Int64("waited", c.waited.Milliseconds()), zap.Int64("left", c.ends.Sub(now).Milliseconds()),
+	}
+	if c.place == nil {
+		return fields
+	}
+	view := c.place.View(c.request.Model, now)
+	fields = append(fields, zap.String("endpoint", view.Entry.Name), zap.Int("predicted", int(c.choice.Millis)), zap.Int("first", c.first),
+		zap.Int("load", view.Load.Requests), zap.Int64("silent", view.Silent.Milliseconds()))
+	if c.request.Model == "" {
+		return fields
+	}
+	fields = append(fields, zap.Int("weights", view.Weights), zap.Int("newest", r.beliefs.Named(c.request.Model).Newest()),
+		zap.Int("prompt", c.request.Prompt), zap.Int("unread", c.choice.Unread))
+	if c.source != nil {
+		fields = append(fields, zap.String("source", c.source.Entry().Name))
+	}
+	return fields
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -59,6 +59,7 @@
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
 	queues  map[string]*queuer.Queue
+	live    map[*try]struct{}
 	share   int
 }
 
@@ -90,7 +91,7 @@
 		speaker: ports.Speaker, beliefs: ports.Beliefs, pool: ports.Pool, ward: ports.Ward, rule: ports.Rule,
 		dataCentre: ports.DataCentre, expiry: ports.Expiry, keep: ports.Keep, alarm: ports.Alarm,
 		count: ports.Count, log: ports.Log, now: ports.Now,
-		budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, share: 1,
+		budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, live: map[*try]struct{}{}, share: 1,
 	}
 }
 
@@ -177,7 +178,7 @@
 		if !r.again(ctx, c, cause) {
 			return cause.WithVerdict(ran)
 		}
-		r.count.Add("retry", string(cause.Code))
+		r.failed(c, cause)
 	}
 }
 
@@ -326,33 +327,6 @@
 	return true
 }
 
-// record counts and logs how a request ended.
-func (r *Relayer) record(c *course, refusal *refuser.Refusal) {
-	took := r.now().Sub(c.request.At)
-	outcome := "answered"
-	if refusal != nil {
-		outcome = string(refusal.Code)
-	}
-	r.count.Add("requests", outcome)
-	r.count.Observe("answer.millis", took.Milliseconds())
-	entry := r.log.Check(zap.InfoLevel, "request ended")
-	if entry == nil {
-		return
-	}
-	fields := []zap.Field{
-		zap.String("request", c.request.ID), zap.String("route", c.request.Route.Name), zap.String("workspace", c.request.Workspace.Name),
-		zap.Int64("configuration", c.request.Table), zap.String("outcome", outcome), zap.Int("sends", c.sends), zap.Int("runs", c.runs),
-		zap.Int64("millis", took.Milliseconds()), zap.Int("predicted", int(c.choice.Millis)), zap.Int("prompt", c.request.Prompt), zap.Int64("waited", c.waited.Milliseconds()), zap.Int("unread", c.choice.Unread), zap.Bool("fetch", c.source != nil), zap.Int("first", c.first),
-	}
-	if c.place != nil {
-		fields = append(fields, zap.String("endpoint", c.place.Entry().Name))
-	}
-	if refusal != nil {
-		fields = append(fields, zap.String("reason", refusal.Reason), zap.Stringer("verdict", refusal.Ran))
-	}
-	entry.Write(fields...)
-}
-
 func (c *course) has(place *monitor.Monitor) bool {
 	for _, tried := range c.tried {
 		if tried == place {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -29,6 +29,9 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
+		if n > 0 {
+			r.heard(t)
+		}
 		pending = append(pending, buffer[:n]...)
 		whole := wholeEvents(pending)
 		if whole > 0 {
--- /dev/null
+++ b/relayer/watch.go
@@ -0,0 +1,82 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"wisteriadrum/pacer"
+	"wisteriadrum/router"
+)
+
+const (
+	// watchEvery is the interval at which silent endpoints are looked for.
+	watchEvery = 50 * time.Millisecond
+	// streamSilence is the silence of an endpoint after which a stream goes on
+	// elsewhere: over the time in which one piece of a long prompt is read.
+	streamSilence = 700 * time.Millisecond
+	// targetShare is the part of a route's target after which a request that
+	// may run twice is tried elsewhere, if its endpoint is silent.
+	targetShare = 0.6
+)
+
+// Watch leaves endpoints that went silent, for requests that may go on
+// elsewhere, until ctx ends. It answers the load of endpoints that vanish
+// without a word: connections to them hang.
+func (r *Relayer) Watch(ctx context.Context) {
+	for pacer.Wait(ctx, watchEvery) {
+		now := r.now()
+		for _, t := range r.silent(now) {
+			t.abandoned.Store(true)
+			_ = t.conn.SetDeadline(time.Unix(1, 0)) // wakes the reader, which reports what came of it
+		}
+	}
+}
+
+// silent returns the tries that wait for an endpoint from which nothing comes.
+func (r *Relayer) silent(now time.Time) []*try {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var silent []*try
+	for t := range r.live {
+		limit := t.patience()
+		if t.place.Silent(now) > limit && now.Sub(t.sentAt)-time.Duration(t.progress.Load()) > limit {
+			silent = append(silent, t)
+		}
+	}
+	return silent
+}
+
+// watch has t watched and returns the function that ends that.
+func (r *Relayer) watch(t *try) func() {
+	if !t.request.Repeats() || t.runs+1 >= t.request.Route.Attempts {
+		return func() {}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.live[t] = struct{}{}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.live, t)
+	}
+}
+
+// heard notes that something came from the endpoint for this request.
+func (r *Relayer) heard(t *try) {
+	now := r.now()
+	t.progress.Store(int64(now.Sub(t.sentAt)))
+	t.place.Heard(now)
+}
+
+// patience returns the silence after which the request is tried elsewhere.
+func (t *try) patience() time.Duration {
+	predicted := time.Duration(t.choice.Millis) * time.Millisecond
+	if t.request.Route.Repeat == router.Repeatable {
+		target := time.Duration(t.request.Route.Target) * time.Millisecond
+		return max(2*predicted, time.Duration(targetShare*float64(target)))
+	}
+	if t.unread == 0 {
+		return streamSilence
+	}
+	return streamSilence + 2*predicted
+}
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -121,7 +121,7 @@
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := r.lease.Release(limit, last); err != nil {
-		r.log.Warn("lease on orders not handed over", zap.Error(err))
+		r.log.Warn("lease on orders not handed over", zap.String("error", err.Error()))
 		return
 	}
 	r.log.Info("lease on orders handed over", zap.Uint64("fence", held.Fence))
@@ -203,7 +203,7 @@
 		r.count.Add("orders", "no-lease")
 		r.share.Lead(false)
 		if !errors.Is(err, leaser.ErrHeld) {
-			r.log.Warn("lease on orders not taken", zap.Error(err))
+			r.log.Warn("lease on orders not taken", zap.String("error", err.Error()))
 		}
 		return false
 	}
@@ -282,7 +282,7 @@
 	err = r.engines.Order(limit, place.Entry(), order)
 	cancel()
 	r.log.Info("weights ordered", zap.String("endpoint", place.Entry().Name), zap.String("model", t.model), zap.Int("version", t.version),
-		zap.Uint64("fence", order.Fence), zap.Int("expected", order.Expected), zap.Int("flight", place.Own().Requests), zap.Error(err))
+		zap.Uint64("fence", order.Fence), zap.Int("expected", order.Expected), zap.Int("flight", place.Own().Requests), zap.String("outcome", verdict(err)))
 	switch {
 	case errors.Is(err, ErrFenced):
 		r.count.Add("orders", "fenced")
@@ -296,6 +296,14 @@
 	r.follow(ctx, place, t)
 }
 
+// verdict returns what a log line says of an order's error.
+func verdict(err error) string {
+	if err == nil {
+		return "accepted"
+	}
+	return err.Error()
+}
+
 // follow asks the engine until it has the version or has taken too long.
 func (r *Roller) follow(ctx context.Context, place *monitor.Monitor, t task) {
 	giveUp := r.now().Add(loadLimit)
@@ -328,7 +336,7 @@
 		r.mu.Lock()
 		r.askBy[place.Key] = r.now().Add(askPause)
 		r.mu.Unlock()
-		r.log.Info("engine did not report", zap.String("endpoint", place.Entry().Name), zap.Error(err))
+		r.log.Info("engine did not report", zap.String("endpoint", place.Entry().Name), zap.String("error", err.Error()))
 		return report, err
 	}
 	return report, nil
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -208,7 +208,7 @@
 	}
 	data, err := json.Marshal(next)
 	if err != nil {
-		s.log.Error("note not encoded", zap.Error(err))
+		s.log.Error("note not encoded", zap.String("error", err.Error()))
 		return
 	}
 	for _, address := range addresses {
@@ -259,7 +259,7 @@
 		var heard note
 		if err := json.Unmarshal(buffer[:n], &heard); err != nil {
 			s.count.Add("notes", "malformed")
-			s.log.Warn("malformed note dropped", zap.Error(err))
+			s.log.Warn("malformed note dropped", zap.String("error", err.Error()))
 			continue
 		}
 		s.hear(heard)
