--- a/dialer/http.go
+++ b/dialer/http.go
@@ -27,7 +27,7 @@
 // Header fields of the endpoint protocol.
 const (
 	HeaderAttempt     = "X-Attempt-Id"
-	HeaderSalt        = "X-Cache-Salt"
+	HeaderSalt        = "X-Salt"
 	HeaderWeights     = "X-Weights-Version"
 	HeaderPriority    = "X-Priority"
 	HeaderSendBy      = "X-Start-By"
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -56,6 +56,9 @@
 	seen   uint64
 	seenAt time.Time
 	since  time.Time
+	// taken reports that this holder has tried to get the lease, ended that it
+	// gave it back for good.
+	taken, ended bool
 }
 
 // row is the value of the lease's row. Count rises with each renewal.
@@ -76,10 +79,13 @@
 
 // Take takes the lease or renews it. A lease that changes hands gets a higher
 // fencing number. The error is ErrHeld, or the table's; after that the lease
-// may have been taken, and the next call finds out.
+// may have been taken, and the next call finds out. After Release it is ErrHeld.
 func (l *Leaser) Take(ctx context.Context) (Lease, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ended {
+		return Lease{}, ErrHeld
+	}
 	begun := l.now() // the time of the answer would be too late
 	rows, err := l.table.Get(ctx, l.key)
 	if err != nil {
@@ -108,14 +114,19 @@
 			l.since = begun
 		}
 	}
+	l.taken = true
 	return l.write(ctx, next, rows[0].Version, begun)
 }
 
-// Release gives the lease back if this holder has it. lastUse is when it was
+// Release gives the lease back for good if this holder has it. lastUse is when it was
 // used last, which the next holder is told.
 func (l *Leaser) Release(ctx context.Context, lastUse time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ended = true
+	if !l.taken {
+		return nil
+	}
 	rows, err := l.table.Get(ctx, l.key)
 	if err != nil {
 		return eris.Wrap(err, "read the lease")
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -48,3 +48,28 @@
 	assert.NilError(t, engine.Obey(commander.Order{Fence: next.Fence, Weights: "v2"}))
 	assert.Assert(t, engine.Obey(commander.Order{Fence: renewed.Fence, Weights: "v1"}) != nil, "an older order undoes a newer one")
 }
+
+// A lease that was given back can be taken at once, with a higher fence and
+// word of its last use; the holder that gave it back never takes it again.
+func TestReleasedLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	shared := storekeeper.New(clock).Table()
+	first, second := leaser.New(shared, "lease", "one", leaser.Default(), clock), leaser.New(shared, "lease", "two", leaser.Default(), clock)
+	old, err := first.Take(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, old.Since.IsZero())
+	lastUse := now
+	now = now.Add(time.Second)
+	assert.NilError(t, first.Release(t.Context(), lastUse))
+	_, err = first.Take(t.Context())
+	assert.ErrorIs(t, err, leaser.ErrHeld)
+	now = now.Add(time.Second)
+	next, err := second.Take(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, next.Fence > old.Fence)
+	assert.Equal(t, next.Since, now.Add(-time.Second), "counted from when the release was seen, a second after the last use")
+	assert.NilError(t, first.Release(t.Context(), lastUse))
+	_, err = second.Take(t.Context())
+	assert.NilError(t, err, "a release of another's lease changes nothing")
+}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -35,7 +35,7 @@
 		pending = append(pending, buffer[:n]...)
 		whole := wholeEvents(pending)
 		if whole > 0 {
-			r.events(t, head, said, pending[:whole])
+			r.events(t, head, pending[:whole])
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		if t.answer.Err() != nil {
@@ -64,7 +64,7 @@
 }
 
 // events passes whole events on, less those that the caller has already.
-func (r *Relayer) events(t *try, head *framer.Head, said speaker.Answer, data []byte) {
+func (r *Relayer) events(t *try, head *framer.Head, data []byte) {
 	if t.unread > 0 {
 		r.firstEvent(t)
 	}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -17,17 +17,17 @@
 type Responder struct {
 	conn  net.Conn
 	now   func() time.Time
-	close bool
+	last  bool
 	old   bool
 	begun bool
 	ended bool
 	err   error
 }
 
-// New returns a responder on conn for a request with that head; close makes
+// New returns a responder on conn for a request with that head; last makes
 // the connection end with the answer.
-func New(conn net.Conn, head *framer.Head, now func() time.Time, close bool) *Responder {
-	return &Responder{conn: conn, now: now, close: close || head != nil && head.Close, old: head != nil && head.Old}
+func New(conn net.Conn, head *framer.Head, now func() time.Time, last bool) *Responder {
+	return &Responder{conn: conn, now: now, last: last || head != nil && head.Close, old: head != nil && head.Old}
 }
 
 // Whole writes a whole answer.
@@ -48,7 +48,7 @@
 
 // Begin writes the head of an answer whose body follows in pieces.
 func (r *Responder) Begin(status int, fields []framer.Field, first []byte) {
-	r.close = r.close || r.old
+	r.last = r.last || r.old
 	buffer := r.head(status, fields)
 	if !r.old {
 		buffer = append(buffer, "Transfer-Encoding: chunked\r\n"...)
@@ -76,7 +76,7 @@
 func (r *Responder) Ended() bool { return r.ended && r.err == nil }
 
 // Reusable reports whether the connection may carry another request.
-func (r *Responder) Reusable() bool { return r.Ended() && !r.close }
+func (r *Responder) Reusable() bool { return r.Ended() && !r.last }
 
 // Err returns the error of the first write that failed.
 func (r *Responder) Err() error { return r.err }
@@ -94,7 +94,7 @@
 		buffer = append(buffer, field.Value...)
 		buffer = append(buffer, "\r\n"...)
 	}
-	if r.close {
+	if r.last {
 		buffer = append(buffer, "Connection: close\r\n"...)
 	}
 	return buffer
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,9 +84,12 @@
 
 	held      holder.Section[leaser.Lease]
 	needSince time.Time
-	stopped   atomic.Bool
-	mu        sync.Mutex
+	// giving is held for reading while an order is given, and guards stopped
+	// and lastOrder.
+	giving    sync.RWMutex
+	stopped   bool
 	lastOrder time.Time
+	mu        sync.Mutex
 	busy      map[uint64]bool
 	// askBy is when an engine that did not report is asked again.
 	askBy map[uint64]time.Time
@@ -106,25 +108,21 @@
 	}
 }
 
-// Stop ends the giving of orders and hands the lease over.
+// Stop ends the giving of orders, waits for those under way, and hands the
+// lease over.
 func (r *Roller) Stop(ctx context.Context) {
-	r.stopped.Store(true)
-	held := r.held.Load()
+	r.giving.Lock()
+	r.stopped = true
+	r.giving.Unlock()
 	r.held.Store(leaser.Lease{})
 	r.share.Lead(false)
-	if !held.Valid(r.now()) {
-		return
-	}
-	r.mu.Lock()
-	last := r.lastOrder
-	r.mu.Unlock()
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := r.lease.Release(limit, last); err != nil {
+	if err := r.lease.Release(limit, r.lastOrder); err != nil {
 		r.log.Warn("lease on orders not handed over", zap.String("error", err.Error()))
 		return
 	}
-	r.log.Info("lease on orders handed over", zap.Uint64("fence", held.Fence))
+	r.log.Info("lease on orders handed over")
 }
 
 type task struct {
@@ -137,7 +135,7 @@
 }
 
 func (r *Roller) round(ctx context.Context) {
-	if r.stopped.Load() {
+	if r.ended() {
 		return
 	}
 	tasks := r.tasks()
@@ -198,6 +196,9 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if r.ended() {
+		return false
+	}
 	held, err := r.lease.Take(limit)
 	if err != nil {
 		r.count.Add("orders", "no-lease")
@@ -270,17 +271,10 @@
 	}
 	r.notice(place, t)
 	pacer.Wait(ctx, noticeWait)
-	held := r.held.Load()
-	r.mu.Lock()
-	r.lastOrder = r.now()
-	r.mu.Unlock()
-	if !held.Valid(r.now()) || place.Left(time.Now()) {
+	order, err := r.give(ctx, place, t, report.Seq)
+	if errors.Is(err, errNotGiven) {
 		return
 	}
-	order := Order{Model: t.model, Version: t.version, Fence: held.Fence, Expected: report.Seq}
-	limit, cancel := context.WithTimeout(ctx, callTimeout)
-	err = r.engines.Order(limit, place.Entry(), order)
-	cancel()
 	r.log.Info("weights ordered", zap.String("endpoint", place.Entry().Name), zap.String("model", t.model), zap.Int("version", t.version),
 		zap.Uint64("fence", order.Fence), zap.Int("expected", order.Expected), zap.Int("flight", place.Own().Requests), zap.String("outcome", verdict(err)))
 	switch {
@@ -296,6 +290,32 @@
 	r.follow(ctx, place, t)
 }
 
+// errNotGiven means that no order was sent.
+var errNotGiven = errors.New("order was not given")
+
+// give sends an order unless the lease or the right to order has ended.
+func (r *Roller) give(ctx context.Context, place *monitor.Monitor, t task, seq int) (Order, error) {
+	r.giving.RLock()
+	defer r.giving.RUnlock()
+	held := r.held.Load()
+	order := Order{Model: t.model, Version: t.version, Fence: held.Fence, Expected: seq}
+	if r.stopped || !held.Valid(r.now()) || place.Left(time.Now()) {
+		return order, errNotGiven
+	}
+	r.mu.Lock()
+	r.lastOrder = r.now()
+	r.mu.Unlock()
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return order, r.engines.Order(limit, place.Entry(), order)
+}
+
+func (r *Roller) ended() bool {
+	r.giving.RLock()
+	defer r.giving.RUnlock()
+	return r.stopped
+}
+
 // verdict returns what a log line says of an order's error.
 func verdict(err error) string {
 	if err == nil {
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -113,7 +113,7 @@
 func (deaf) WriteTo(data []byte, _ net.Addr) (int, error) { return len(data), nil }
 
 // instance starts a roller named name over the engines and the table.
-func instance(t *testing.T, ctx context.Context, name string, engines *fleet, table tabler.Table) (*roller.Roller, *registrar.Registrar) {
+func instance(ctx context.Context, t *testing.T, name string, engines *fleet, table tabler.Table) (*roller.Roller, *registrar.Registrar) {
 	t.Helper()
 	count := counter.New(metrics.NewRegistry())
 	beliefs := registrar.New()
@@ -138,7 +138,7 @@
 		defer cancel()
 		engines := newFleet()
 		engines.dark["e3"] = true
-		_, beliefs := instance(t, ctx, "a", engines, storekeeper.New(time.Now).Table())
+		_, beliefs := instance(ctx, t, "a", engines, storekeeper.New(time.Now).Table())
 		beliefs.PutWeights("m", 2, time.Now())
 		time.Sleep(6 * time.Second)
 		assert.Equal(t, engines.behind(2), 1)
@@ -159,12 +159,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		engines, table := newFleet(), storekeeper.New(time.Now).Table()
-		first, beliefs := instance(t, ctx, "a", engines, table)
+		first, beliefs := instance(ctx, t, "a", engines, table)
 		beliefs.PutWeights("m", 2, time.Now())
 		time.Sleep(2 * time.Second)
 		first.Stop(ctx)
 		before := len(engines.orders)
-		_, other := instance(t, ctx, "b", engines, table)
+		_, other := instance(ctx, t, "b", engines, table)
 		other.PutWeights("m", 2, time.Now())
 		time.Sleep(9 * time.Second)
 		assert.Equal(t, engines.behind(2), 0)
@@ -182,8 +182,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		engines, table := newFleet(), storekeeper.New(time.Now).Table()
-		_, one := instance(t, ctx, "a", engines, table)
-		_, two := instance(t, ctx, "b", engines, table)
+		_, one := instance(ctx, t, "a", engines, table)
+		_, two := instance(ctx, t, "b", engines, table)
 		for version := 2; version < 5; version++ {
 			one.PutWeights("m", version, time.Now())
 			two.PutWeights("m", version, time.Now())
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -76,8 +76,10 @@
 // newer when a peer has a newer configuration.
 func New(self Peer, boot int64, conn net.PacketConn, beliefs *registrar.Registrar, ward *quarantiner.Ward, count *counter.Counter, log *zap.Logger, now func() time.Time, newer func()) *Sharer {
 	self.boot = boot
-	return &Sharer{self: self, conn: conn, beliefs: beliefs, ward: ward, count: count, log: log, now: now, newer: newer,
-		peers: map[string]*Peer{}, told: map[uint64]monitor.Load{}}
+	return &Sharer{
+		self: self, conn: conn, beliefs: beliefs, ward: ward, count: count, log: log, now: now, newer: newer,
+		peers: map[string]*Peer{}, told: map[uint64]monitor.Load{},
+	}
 }
 
 // Meet adds peers that are known from elsewhere.
