--- a/cmd/wisteriadrum/main.go
+++ b/cmd/wisteriadrum/main.go
@@ -27,6 +27,7 @@
 	Status   statusCmd   `cmd:"" help:"Show what an instance knows."`
 	Demo     demoCmd     `cmd:"" help:"Run everything in one process on loopback and show the measures."`
 	Platform platformCmd `cmd:"" help:"Run an instance on the platform, with the settings that the environment names."`
+	Explain  explainCmd  `cmd:"" help:"Tell the story of one request from the logs of instances."`
 	Version  versionCmd  `cmd:"" help:"Show the version."`
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -21,6 +21,7 @@
 	"wisteriadrum/exposer"
 	"wisteriadrum/feeder"
 	"wisteriadrum/leaser"
+	"wisteriadrum/monitor"
 	"wisteriadrum/muter"
 	"wisteriadrum/pacer"
 	"wisteriadrum/pooler"
@@ -121,7 +122,7 @@
 	c.share = sharer.New(self, time.Now().UnixNano(), packets, beliefs, ward, count, log, time.Now, c.feeders[0].Again)
 	c.relay = relayer.New(relayer.Ports{
 		Speaker: ports.Speaker, Beliefs: beliefs, Pool: pooler.New(ports.Dial, time.Now), Ward: ward, Rule: options.Retries,
-		DataCentre: options.DataCentre, Expiry: time.Duration(options.Expiry) * time.Millisecond, Keep: c.share.Keep, Alarm: c.share.Alarm, Count: count, Log: log, Now: time.Now,
+		DataCentre: options.DataCentre, Expiry: time.Duration(options.Expiry) * time.Millisecond, Keep: c.share.Keep, Ask: func(place *monitor.Monitor) { c.roll.Ask(place) }, Alarm: c.share.Alarm, Count: count, Log: log, Now: time.Now,
 	})
 	c.accept = acceptor.New(ports.Speaker, beliefs, c.relay, count, log, time.Now)
 	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -73,6 +73,7 @@
 	peers    map[string]peerLoad
 	kept     *shelf
 	weights  map[string]int
+	known    map[string]time.Time
 	loadBy   time.Time
 	shunBy   time.Time
 	leaveBy  time.Time
@@ -84,7 +85,7 @@
 
 // New returns a monitor of an endpoint; engine is nil for plain services.
 func New(key uint64, entry Entry, engine *router.Engine) *Monitor {
-	m := &Monitor{Key: key, peers: map[string]peerLoad{}, weights: map[string]int{}}
+	m := &Monitor{Key: key, peers: map[string]peerLoad{}, weights: map[string]int{}, known: map[string]time.Time{}}
 	m.Update(entry, engine)
 	return m
 }
@@ -241,9 +242,21 @@
 		return
 	}
 	m.weights[model] = version
+	m.known[model] = time.Now()
 	m.loadBy = time.Time{}
 }
 
+// WeightsAfter returns the version of model if it became known after a time,
+// and 0 otherwise.
+func (m *Monitor) WeightsAfter(model string, after time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.known[model].After(after) {
+		return 0
+	}
+	return m.weights[model]
+}
+
 // Weights returns the version of model that the endpoint serves, 0 if unknown.
 func (m *Monitor) Weights(model string) int {
 	m.mu.Lock()
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -197,6 +197,9 @@
 	if !said.Moved || t.weights == t.place.Weights(t.request.Model) {
 		t.place.Failed(r.now())
 	}
+	if said.Moved && t.weights > 0 {
+		r.ask(t.place)
+	}
 	refusal := refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s did not run it (%d)", t.entry.Name, head.Status)
 	return r.reuse(t, head, said, err), refusal.WithRetryAt(r.now().Add(retryAfter))
 }
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// placed logs where a request goes, so that it can be explained even if its
+// instance does not live to see its end.
+func (r *Relayer) placed(c *course) {
+	if entry := r.log.Check(zap.InfoLevel, "request placed"); entry != nil {
+		entry.Write(r.inputs(c, r.now().Sub(c.request.At))...)
+	}
+}
+
 // failed logs an attempt after which the request goes on.
 func (r *Relayer) failed(c *course, cause *refuser.Refusal) {
 	r.count.Add("retry", string(cause.Code))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -51,6 +51,7 @@
 	dataCentre string
 	expiry     time.Duration
 	keep       func(place *monitor.Monitor, part uint64, tokens int, ready bool)
+	ask        func(place *monitor.Monitor)
 	alarm      func(quarantiner.Case)
 	count      *counter.Counter
 	log        *zap.Logger
@@ -78,6 +79,8 @@
 	Expiry time.Duration
 	// Keep tells the other instances that an endpoint keeps a part.
 	Keep func(place *monitor.Monitor, part uint64, tokens int, ready bool)
+	// Ask asks an engine which weights it has.
+	Ask func(place *monitor.Monitor)
 	// Alarm tells the other instances of a request that crashed an endpoint.
 	Alarm func(quarantiner.Case)
 	Count *counter.Counter
@@ -89,7 +92,7 @@
 func New(ports Ports) *Relayer {
 	return &Relayer{
 		speaker: ports.Speaker, beliefs: ports.Beliefs, pool: ports.Pool, ward: ports.Ward, rule: ports.Rule,
-		dataCentre: ports.DataCentre, expiry: ports.Expiry, keep: ports.Keep, alarm: ports.Alarm,
+		dataCentre: ports.DataCentre, expiry: ports.Expiry, keep: ports.Keep, ask: ports.Ask, alarm: ports.Alarm,
 		count: ports.Count, log: ports.Log, now: ports.Now,
 		budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, live: map[*try]struct{}{}, share: 1,
 	}
@@ -167,6 +170,7 @@
 			}
 			return refusal.WithVerdict(max(ran, refusal.Ran))
 		}
+		r.placed(c)
 		cause = r.attempt(ctx, c)
 		if cause == nil {
 			return nil
@@ -205,8 +209,8 @@
 // waited for half of its time is refused, so that its caller can come back.
 func (r *Relayer) seat(ctx context.Context, c *course) *refuser.Refusal {
 	refusal := r.place(c, r.now())
-	if refusal != nil || !c.choice.Full {
-		return refusal
+	if refusal != nil || !c.choice.Full || c.answer.Begun() {
+		return refusal // a caller that has a part of the answer is not kept waiting
 	}
 	queue := r.queue(c.request.Pool.Name)
 	ticket := &queuer.Ticket{Urgency: c.request.Urgency(), Arrived: c.request.At, TargetBy: c.request.Route.TargetBy(c.request.At)}
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -329,10 +329,7 @@
 	giveUp := r.now().Add(loadLimit)
 	for pacer.Wait(ctx, roundEvery) && r.now().Before(giveUp) {
 		report, err := r.report(ctx, place)
-		if err != nil {
-			continue
-		}
-		if r.done(place, t, report) {
+		if err != nil || r.done(place, t, report) {
 			return
 		}
 		if report.Busy {
@@ -362,17 +359,38 @@
 	return report, nil
 }
 
+// Ask asks an engine which weights it has, because it refused a request for
+// being on others than it was taken to have.
+func (r *Roller) Ask(place *monitor.Monitor) {
+	if r.isBusy(place.Key) {
+		return
+	}
+	r.mu.Lock()
+	r.askBy[place.Key] = r.now().Add(askPause)
+	r.mu.Unlock()
+	go func() {
+		report, err := r.report(context.Background(), place)
+		if err != nil {
+			return
+		}
+		for model, version := range report.Weights {
+			place.SetWeights(model, version)
+		}
+		r.log.Info("engine told its weights", zap.String("endpoint", place.Entry().Name), zap.Any("weights", report.Weights))
+	}()
+}
+
 // done reports whether the engine has the version, and tells all if so.
 func (r *Roller) done(place *monitor.Monitor, t task, report Report) bool {
 	has := report.Weights[t.model]
 	if has == 0 {
 		return false
 	}
-	before := place.Weights(t.model)
 	place.SetWeights(t.model, has)
-	if has > before {
-		place.Loading(time.Time{})
-		r.share.Weights(place, t.model, has, 0)
+	if has < t.version {
+		return false
 	}
-	return has >= t.version
+	place.Loading(time.Time{})
+	r.share.Weights(place, t.model, has, 0)
+	return true
 }
--- a/sharer/note.go
+++ b/sharer/note.go
@@ -83,6 +83,11 @@
 	return nil
 }
 
+// news reports whether the note tells anything new.
+func (n *note) news() bool {
+	return len(n.Loads)+len(n.Parts)+len(n.Weights)+len(n.Cases)+len(n.Empty) > 0
+}
+
 func (l load) load() monitor.Load {
 	return monitor.Load{Requests: l.Requests, Unread: l.Unread, Memory: l.Memory}
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -30,6 +30,9 @@
 	tickPeer = 8 * time.Millisecond
 	// restEvery is the interval of notes that tell nothing new, in ticks.
 	restEvery = 5
+	// recentFor is how long a version that became known is told again: three
+	// notes at rest.
+	recentFor = 1500 * time.Millisecond
 	// silentAfter is the silence after which a peer is taken to be gone: six
 	// notes at rest.
 	silentAfter = 3 * time.Second
@@ -205,7 +208,7 @@
 		addresses = append(addresses, peer.Address)
 	}
 	s.mu.Unlock()
-	if !rest && len(next.Loads) == 0 && len(next.Parts) == 0 {
+	if !rest && !next.news() {
 		return
 	}
 	data, err := json.Marshal(next)
@@ -245,11 +248,29 @@
 	taken := min(len(s.parts), mostParts)
 	next.Parts, s.parts = s.parts[:taken], s.parts[taken:]
 	next.Weights, s.news = s.news, nil
+	if rest {
+		next.Weights = append(next.Weights, s.recent()...)
+	}
 	next.Cases, s.cases = s.cases, nil
 	next.Empty, s.empty = s.empty, nil
 	return next
 }
 
+// recent returns the versions of weights that became known of late, since a
+// note that told of them may have been lost.
+func (s *Sharer) recent() []weights {
+	var list []weights
+	after := s.now().Add(-recentFor)
+	for model := range s.beliefs.Weights() {
+		for _, one := range s.beliefs.Fleet().All() {
+			if version := one.WeightsAfter(model, after); version > 0 {
+				list = append(list, weights{Key: one.Key, Model: model, Version: version})
+			}
+		}
+	}
+	return list
+}
+
 // Listen takes in notes until the connection is closed.
 func (s *Sharer) Listen() error {
 	buffer := make([]byte, maxRead)
