--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -44,7 +44,8 @@
 	log     *zap.Logger
 	now     func() time.Time
 
-	leaving atomic.Bool
+	leaving atomic.Bool // connections end with their next answer
+	ending  atomic.Bool // no request is taken any more
 	mu      sync.Mutex
 	conns   map[*session]struct{}
 }
@@ -80,9 +81,10 @@
 // Leave makes each connection end with its next answer.
 func (a *Acceptor) Leave() { a.leaving.Store(true) }
 
-// CloseIdle closes the connections on which no request is under way and
-// returns how many others are left.
+// CloseIdle closes the connections on which no request is under way, takes no
+// new request on the others, and returns how many those are.
 func (a *Acceptor) CloseIdle() int {
+	a.ending.Store(true)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	left := 0
@@ -146,7 +148,7 @@
 		if _, err := s.reader.Peek(1); err != nil {
 			return
 		}
-		if !s.state.CompareAndSwap(idle, busy) || !s.one() {
+		if !s.state.CompareAndSwap(idle, busy) || s.ending.Load() || !s.one() {
 			return
 		}
 		s.state.CompareAndSwap(busy, idle)
@@ -220,7 +222,7 @@
 		s.write(answer, request.ID, refusal)
 	}
 	cancel()
-	if !answer.Reusable() {
+	if !answer.Reusable() || s.leaving.Load() {
 		return s.end(answer, watched)
 	}
 	s.state.Store(idle)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
@@ -197,7 +199,11 @@
 	if !said.Moved || t.weights == t.place.Weights(t.request.Model) {
 		t.place.Failed(r.now())
 	}
-	if said.Moved && t.weights > 0 {
+	switch {
+	case said.Moved && said.Endpoint != "" && said.Endpoint != t.entry.Name:
+		t.place.Leave(r.now())
+		r.log.Warn("another endpoint has the address", zap.String("endpoint", t.entry.Name), zap.String("found", said.Endpoint))
+	case said.Moved && t.weights > 0:
 		r.ask(t.place)
 	}
 	refusal := refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s did not run it (%d)", t.entry.Name, head.Status)
--- a/speaker/speaker.go
+++ b/speaker/speaker.go
@@ -33,8 +33,11 @@
 	ID string
 	// NotRun is the endpoint's word that the request did not run.
 	NotRun bool
-	// Moved reports that another endpoint has the address.
+	// Moved reports that the endpoint is not the one that was meant, or has
+	// other weights.
 	Moved bool
+	// Endpoint is the name of the endpoint that answered, "" if unknown.
+	Endpoint string
 	// Sealed reports that the answer carries the endpoint's own mark.
 	Sealed bool
 	// Weights is the version that ran, 0 if unknown.
