--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,7 @@
 	"wisteriadrum/counter"
 	"wisteriadrum/exposer"
 	"wisteriadrum/feeder"
+	"wisteriadrum/informer"
 	"wisteriadrum/leaser"
 	"wisteriadrum/monitor"
 	"wisteriadrum/muter"
@@ -40,9 +43,13 @@
 	// may have to be cut at the end of the grace.
 	balancerWait = 2500 * time.Millisecond
 	// endMargin is kept before the end of the grace.
-	endMargin   = 700 * time.Millisecond
-	shareEvery  = time.Second
-	meetEvery   = 15 * time.Second
+	endMargin  = 700 * time.Millisecond
+	shareEvery = time.Second
+	meetEvery  = 15 * time.Second
+	// firstMeet spreads the first reads of instances that start together.
+	firstMeet   = 200 * time.Millisecond
+	meetRetry   = time.Second
+	rowPrefix   = "instance/"
 	drainCheck  = 50 * time.Millisecond
 	lastAnswers = 50 * time.Millisecond
 	leaseKey    = "lease/orders"
@@ -101,6 +108,7 @@
 	accept   *acceptor.Acceptor
 	share    *sharer.Sharer
 	roll     *roller.Roller
+	inform   *informer.Informer
 	feeders  []*feeder.Feeder
 	packets  net.PacketConn
 	stopping atomic.Bool
@@ -118,6 +126,7 @@
 	for _, table := range ports.Tables {
 		c.feeders = append(c.feeders, feeder.New(ports.Source, table.Name, table.Apply, count, log))
 	}
+	c.inform = informer.New(c.feeders, ports.Dial, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.Peer}
 	c.share = sharer.New(self, time.Now().UnixNano(), packets, beliefs, ward, count, log, time.Now, c.feeders[0].Again)
 	c.relay = relayer.New(relayer.Ports{
@@ -143,7 +152,17 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for probes")
 	}
-	failed := make(chan error, 4)
+	tables, err := net.Listen("tcp", c.options.Peer)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	defer func() {
+		for _, open := range []io.Closer{callers, ready, tables, c.packets} {
+			_ = open.Close() // some are closed already
+		}
+	}()
+	failed := make(chan error, 5)
+	go func() { failed <- c.inform.Serve(tables) }()
 	go func() { failed <- c.accept.Serve(callers) }()
 	go func() { failed <- c.probes().Serve(ready) }()
 	go func() { failed <- c.share.Listen() }()
@@ -161,6 +180,7 @@
 	go c.roll.Run(background)
 	go c.relay.Watch(background)
 	go c.meet(background)
+	go c.inform.Run(background, c.share.Addresses)
 	go c.divide(background)
 	c.log.Info("instance serving", zap.String("name", c.options.Name), zap.String("caller", c.options.Caller))
 	select {
@@ -233,32 +253,36 @@
 		c.log.Error("row of this instance not encoded", zap.String("error", err.Error()))
 		return
 	}
-	written := false
-	pause := pacer.Jitter(200 * time.Millisecond)
+	written, failing := false, false
+	pause := pacer.Jitter(firstMeet)
 	for pacer.Wait(ctx, pause) {
-		pause = time.Second
+		pause = meetRetry
+		var rows []feeder.Row
+		var err error
 		if !written {
-			if err := c.ports.Put(ctx, "instance/"+c.options.Name, value); err != nil {
-				c.log.Warn("row of this instance not written", zap.String("error", err.Error()))
-				continue
-			}
-			written = true
+			err = c.ports.Put(ctx, rowPrefix+c.options.Name, value)
+			written = err == nil
+		}
+		if err == nil {
+			rows, err = c.ports.Peers(ctx)
 		}
-		rows, err := c.ports.Peers(ctx)
 		if err != nil {
-			c.log.Warn("rows of the other instances not read", zap.String("error", err.Error()))
+			if !failing {
+				c.log.Warn("rows of the instances not written or read", zap.String("error", err.Error()))
+			}
+			failing = true
 			continue
 		}
+		failing = false
 		c.share.Meet(c.decode(rows))
 		pause = pacer.Jitter(meetEvery)
 	}
 }
 
 func (c *Conductor) decode(rows []feeder.Row) []sharer.Peer {
-	const prefix = "instance/"
 	var peers []sharer.Peer
 	for _, row := range rows {
-		if len(row.Key) <= len(prefix) || row.Key[:len(prefix)] != prefix {
+		if !strings.HasPrefix(row.Key, rowPrefix) {
 			continue
 		}
 		var decoded peerRow
@@ -271,7 +295,7 @@
 			c.log.Warn("malformed row of an instance passed over", zap.String("key", row.Key), zap.String("error", err.Error()))
 			continue
 		}
-		peers = append(peers, sharer.Peer{Name: row.Key[len(prefix):], DataCentre: decoded.Zone, Address: decoded.Addr})
+		peers = append(peers, sharer.Peer{Name: strings.TrimPrefix(row.Key, rowPrefix), DataCentre: decoded.Zone, Address: decoded.Addr})
 	}
 	return peers
 }
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -6,6 +6,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -58,16 +62,26 @@
 	again  chan struct{}
 	count  *counter.Counter
 	log    *zap.Logger
+	lost   atomic.Bool
+
+	mu sync.Mutex
 	// after is where the changes go on, 0 to read the table whole; newest is
-	// the newest version seen.
+	// the newest version seen, and rows the table as of it.
 	after, newest uint64
+	rows          map[string]Row
 }
 
 // New returns a feeder that hands rows to apply; whole says that there are no others.
 func New(source Source, table string, apply func(rows []Row, whole bool), count *counter.Counter, log *zap.Logger) *Feeder {
-	return &Feeder{source: source, table: table, apply: apply, again: make(chan struct{}, 1), count: count, log: log}
+	return &Feeder{source: source, table: table, apply: apply, again: make(chan struct{}, 1), count: count, log: log, rows: map[string]Row{}}
 }
 
+// Name returns the name of the table.
+func (f *Feeder) Name() string { return f.table }
+
+// Lost reports whether the store does not answer.
+func (f *Feeder) Lost() bool { return f.lost.Load() }
+
 // Again has the table read whole after the watch under way.
 func (f *Feeder) Again() {
 	select {
@@ -76,32 +90,53 @@
 	}
 }
 
+// Snapshot returns the table as far as it is known.
+func (f *Feeder) Snapshot() Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Page{Rows: slices.Collect(maps.Values(f.rows)), Version: f.newest}
+}
+
+// Offer takes in the table as another instance knows it, if that is newer, and
+// reports whether it was.
+func (f *Feeder) Offer(page Page) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Version <= f.newest {
+		return false
+	}
+	f.take(page, true)
+	return true
+}
+
 // Run follows the table until ctx ends.
 func (f *Feeder) Run(ctx context.Context) {
 	pause := retryFirst
-	lost := false
 	for ctx.Err() == nil {
 		err := f.step(ctx)
-		if err == nil {
-			if lost {
-				f.log.Info("store answers again", zap.String("table", f.table), zap.Uint64("version", f.after))
+		switch {
+		case err == nil:
+			if f.lost.Swap(false) {
+				f.log.Info("store answers again", zap.String("table", f.table), zap.Uint64("version", f.Snapshot().Version))
 			}
-			lost, pause = false, retryFirst
+			pause = retryFirst
 			pacer.Wait(ctx, gather)
-			continue
-		}
-		if errors.Is(err, ErrHistory) {
-			f.log.Info("history is gone; the table is read whole", zap.String("table", f.table), zap.Uint64("after", f.after))
-			f.after = 0
-			continue
-		}
-		if !lost && ctx.Err() == nil {
-			f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("after", f.after), zap.String("error", err.Error()))
+		case errors.Is(err, ErrHistory):
+			f.log.Info("history is gone; the table is read whole", zap.String("table", f.table))
+			f.forget()
+		default:
+			f.fail(ctx, err)
+			pacer.Wait(ctx, pacer.Jitter(pause))
+			pause = min(2*pause, retryMost)
 		}
-		lost = true
-		f.count.Add("store", "failed")
-		pacer.Wait(ctx, pacer.Jitter(pause))
-		pause = min(2*pause, retryMost)
+	}
+}
+
+// fail notes that a call failed.
+func (f *Feeder) fail(ctx context.Context, err error) {
+	f.count.Add("store", "failed")
+	if ctx.Err() == nil && !f.lost.Swap(true) {
+		f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("version", f.Snapshot().Version), zap.String("error", err.Error()))
 	}
 }
 
@@ -111,19 +146,20 @@
 		return f.read(ctx)
 	default:
 	}
-	if f.after == 0 {
+	after := f.position()
+	if after == 0 {
 		return f.read(ctx)
 	}
 	f.count.Add("store", "watches")
-	page, err := f.source.Watch(ctx, f.table, f.after)
+	page, err := f.source.Watch(ctx, f.table, after)
 	if err != nil {
 		return err
 	}
-	if len(page.Rows) > 0 {
-		f.apply(page.Rows, false)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Version > f.newest {
+		f.take(page, false)
 	}
-	f.after = max(f.after, page.Version)
-	f.newest = max(f.newest, f.after)
 	return nil
 }
 
@@ -138,10 +174,42 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if page.Version < f.newest {
 		return ErrStale
 	}
-	f.apply(page.Rows, true)
-	f.after, f.newest = page.Version, page.Version
+	f.take(page, true)
 	return nil
 }
+
+// take applies a whole table or changes. The caller holds the lock, so that
+// changes are applied in order.
+func (f *Feeder) take(page Page, whole bool) {
+	if whole {
+		f.rows = map[string]Row{}
+	}
+	for _, row := range page.Rows {
+		f.rows[row.Key] = row
+		if row.Deleted {
+			delete(f.rows, row.Key)
+		}
+	}
+	f.after, f.newest = page.Version, page.Version
+	if whole || len(page.Rows) > 0 {
+		f.apply(page.Rows, whole)
+	}
+}
+
+func (f *Feeder) position() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.after
+}
+
+// forget has the table read whole next.
+func (f *Feeder) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.after = 0
+}
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -98,3 +98,26 @@
 		assert.DeepEqual(t, source.after, []uint64{0, 0, 5, 7, 7, 8, 0, 0, 9})
 	})
 }
+
+// While the store does not answer, the table comes from another instance, and
+// the changes go on from there; what is older is not taken.
+func TestOffers(t *testing.T) {
+	source := &script{}
+	var applied []string
+	feed := feeder.New(source, "table", func(rows []feeder.Row, _ bool) {
+		for _, row := range rows {
+			applied = append(applied, row.Key)
+		}
+	}, counter.New(metrics.NewRegistry()), zap.NewNop())
+	assert.Assert(t, !feed.Offer(feeder.Page{}))
+	assert.Assert(t, feed.Offer(page(5, "a", "b")))
+	assert.Assert(t, !feed.Offer(page(5, "c")))
+	assert.Assert(t, !feed.Offer(page(4, "c")))
+	assert.DeepEqual(t, applied, []string{"a", "b"})
+	assert.Equal(t, len(feed.Snapshot().Rows), 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	source.steps = []step{{page: page(6)}}
+	feed.Run(ctx)
+	assert.Equal(t, feed.Snapshot().Version, uint64(5))
+}
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -118,31 +118,31 @@
 	return l.write(ctx, next, rows[0].Version, begun)
 }
 
-// Release gives the lease back for good if this holder has it. lastUse is when it was
-// used last, which the next holder is told.
-func (l *Leaser) Release(ctx context.Context, lastUse time.Time) error {
+// Release gives the lease back for good and reports whether this holder had it.
+// lastUse is when it was used last, which the next holder is told.
+func (l *Leaser) Release(ctx context.Context, lastUse time.Time) (bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended = true
 	if !l.taken {
-		return nil
+		return false, nil
 	}
 	rows, err := l.table.Get(ctx, l.key)
 	if err != nil {
-		return eris.Wrap(err, "read the lease")
+		return false, eris.Wrap(err, "read the lease")
 	}
 	var old row
 	if rows[0].Version == 0 {
-		return nil
+		return false, nil
 	}
 	if err := json.Unmarshal(rows[0].Value, &old); err != nil {
-		return eris.Wrap(err, "decode the lease")
+		return false, eris.Wrap(err, "decode the lease")
 	}
 	if old.Holder != l.holder {
-		return nil
+		return false, nil
 	}
 	_, err = l.write(ctx, row{Fence: old.Fence, Count: old.Count + 1, Idle: l.now().Sub(lastUse).Milliseconds()}, rows[0].Version, l.now())
-	return err
+	return err == nil, err
 }
 
 func (l *Leaser) write(ctx context.Context, next row, version uint64, begun time.Time) (Lease, error) {
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -61,7 +61,9 @@
 	assert.Assert(t, old.Since.IsZero())
 	lastUse := now
 	now = now.Add(time.Second)
-	assert.NilError(t, first.Release(t.Context(), lastUse))
+	had, err := first.Release(t.Context(), lastUse)
+	assert.NilError(t, err)
+	assert.Assert(t, had)
 	_, err = first.Take(t.Context())
 	assert.ErrorIs(t, err, leaser.ErrHeld)
 	now = now.Add(time.Second)
@@ -69,7 +71,9 @@
 	assert.NilError(t, err)
 	assert.Assert(t, next.Fence > old.Fence)
 	assert.Equal(t, next.Since, now.Add(-time.Second), "counted from when the release was seen, a second after the last use")
-	assert.NilError(t, first.Release(t.Context(), lastUse))
+	had, err = first.Release(t.Context(), lastUse)
+	assert.NilError(t, err)
+	assert.Assert(t, !had)
 	_, err = second.Take(t.Context())
 	assert.NilError(t, err, "a release of another's lease changes nothing")
 }
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -118,11 +118,13 @@
 	r.share.Lead(false)
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := r.lease.Release(limit, r.lastOrder); err != nil {
+	had, err := r.lease.Release(limit, r.lastOrder)
+	switch {
+	case err != nil:
 		r.log.Warn("lease on orders not handed over", zap.String("error", err.Error()))
-		return
+	case had:
+		r.log.Info("lease on orders handed over")
 	}
-	r.log.Info("lease on orders handed over")
 }
 
 type task struct {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -36,9 +36,12 @@
 	// silentAfter is the silence after which a peer is taken to be gone: six
 	// notes at rest.
 	silentAfter = 3 * time.Second
-	// maxNote is the size of a datagram in bytes that is not cut up on the way.
-	maxNote   = 1400
-	maxRead   = 64 << 10
+	// forgetAfter is how long notes still go to a peer that is silent or has
+	// ended: it may start again while the store does not answer, and knows
+	// nobody then.
+	forgetAfter = time.Minute
+	maxRead     = 64 << 10
+	// mostParts bounds the parts in a note, so that it is not cut up on its way.
 	mostParts = 40
 )
 
@@ -113,6 +116,19 @@
 	return names
 }
 
+// Addresses returns the addresses of the other live instances.
+func (s *Sharer) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, peer := range s.peers {
+		if !s.silent(peer) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
+
 // Candidates returns the live instances that do not end, in order.
 func (s *Sharer) Candidates() []string {
 	s.mu.Lock()
@@ -205,7 +221,9 @@
 	next := s.note(rest)
 	addresses := make([]string, 0, len(s.peers))
 	for _, peer := range s.peers {
-		addresses = append(addresses, peer.Address)
+		if s.now().Before(peer.silentBy.Add(forgetAfter)) || peer.silentBy.IsZero() {
+			addresses = append(addresses, peer.Address)
+		}
 	}
 	s.mu.Unlock()
 	if !rest && !next.news() {
@@ -353,7 +371,7 @@
 		s.leader = heard.Name
 	}
 	if heard.Gone {
-		delete(s.peers, heard.Name)
+		s.peers[heard.Name].silentBy = now
 	}
 	return true
 }
