--- /dev/null
+++ b/relayer/export_test.go
@@ -0,0 +1,7 @@
+package relayer
+
+// What the tests of streams need.
+var (
+	Fresh       = fresh
+	WholeEvents = wholeEvents
+)
--- /dev/null
+++ b/relayer/stream_test.go
@@ -0,0 +1,84 @@
+package relayer_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/framer"
+	"wisteriadrum/refuser"
+	"wisteriadrum/relayer"
+	"wisteriadrum/requester"
+	"wisteriadrum/router"
+)
+
+// Of what a resumed stream brings, only events that the caller does not have
+// are passed on.
+func TestFreshEvents(t *testing.T) {
+	for name, test := range map[string]struct {
+		data, last string
+		fresh      string
+		newest     string
+	}{
+		"first":           {"id: 1\ndata: a\n\n", "", "id: 1\ndata: a\n\n", "1"},
+		"known":           {"id: 1\ndata: a\n\n", "1", "", "1"},
+		"one known":       {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "1", "id: 2\ndata: b\n\n", "2"},
+		"tenth after two": {"id: 10\ndata: a\n\n", "2", "id: 10\ndata: a\n\n", "10"},
+		"without id":      {"data: a\n\n", "1", "data: a\n\n", "1"},
+		"with returns":    {"id:3\r\ndata: a\r\n\r\n", "2", "id:3\r\ndata: a\r\n\r\n", "3"},
+		"id after data":   {"data: a\nid: 4\n\n", "4", "", "4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, newest := relayer.Fresh([]byte(test.data), test.last)
+			assert.Equal(t, string(data), test.fresh)
+			assert.Equal(t, newest, test.newest)
+		})
+	}
+}
+
+func TestWholeEvents(t *testing.T) {
+	for text, want := range map[string]int{"": 0, "id: 1\n": 0, "a\n\n": 3, "a\n\nb": 3, "a\n\nb\n\n": 6, "a\r\n\r\nb\r\n": 5} {
+		assert.Equal(t, relayer.WholeEvents([]byte(text)), want, "%q", text)
+	}
+}
+
+// A request is allowed by its route and key, and keeps its pool over changes
+// of the configuration that still allow it.
+func TestIdentify(t *testing.T) {
+	route := func(service string) router.Route {
+		return router.Route{Host: "h", Prefix: "/a/", Splits: []router.Split{{Pool: service, Weight: 1}}}
+	}
+	keys := map[string]router.Workspace{"k": {Name: "w"}}
+	table := func(version int64, service string) *router.Table {
+		return router.New(version, []router.Route{route(service)}, []router.Pool{{Name: "p"}, {Name: "q"}}, nil, keys, router.Limits{})
+	}
+	request := func(path, key string) *requester.Request {
+		return &requester.Request{Host: "h", Path: path, Key: key, Head: &framer.Head{Target: path}, At: time.Unix(1000, 0)}
+	}
+	for name, test := range map[string]struct {
+		request *requester.Request
+		table   *router.Table
+		code    refuser.Code
+	}{
+		"allowed":          {request("/a/x", "k"), table(1, "p"), ""},
+		"no configuration": {request("/a/x", "k"), nil, refuser.NoSet},
+		"no route":         {request("/b/x", "k"), table(1, "p"), refuser.NoRoute},
+		"no key":           {request("/a/x", ""), table(1, "p"), refuser.Unauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			refusal := relayer.Identify(test.request, test.table)
+			if test.code == "" {
+				assert.Assert(t, refusal == nil)
+				return
+			}
+			assert.Equal(t, refusal.Code, test.code)
+		})
+	}
+	moved := request("/a/x", "k")
+	assert.Assert(t, relayer.Identify(moved, table(1, "p")) == nil)
+	assert.Equal(t, moved.Pool.Name, "p")
+	assert.Assert(t, relayer.Identify(moved, table(2, "q")) == nil)
+	assert.Equal(t, moved.Pool.Name, "q")
+	assert.Equal(t, moved.Table, int64(2))
+}
