--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -4,11 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
-	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -239,67 +236,6 @@
 	c.log.Info("instance stopped", zap.Int("busy", c.accept.Busy()))
 }
 
-// peerRow is the row by which instances find each other.
-type peerRow struct {
-	Zone string `json:"zone"`
-	Addr string `json:"addr"`
-}
-
-// meet writes this instance's row and reads those of the others, soon after
-// the start and then now and then.
-func (c *Conductor) meet(ctx context.Context) {
-	value, err := json.Marshal(peerRow{Zone: c.options.DataCentre, Addr: c.options.Peer})
-	if err != nil {
-		c.log.Error("row of this instance not encoded", zap.String("error", err.Error()))
-		return
-	}
-	written, failing := false, false
-	pause := pacer.Jitter(firstMeet)
-	for pacer.Wait(ctx, pause) {
-		pause = meetRetry
-		var rows []feeder.Row
-		var err error
-		if !written {
-			err = c.ports.Put(ctx, rowPrefix+c.options.Name, value)
-			written = err == nil
-		}
-		if err == nil {
-			rows, err = c.ports.Peers(ctx)
-		}
-		if err != nil {
-			if !failing {
-				c.log.Warn("rows of the instances not written or read", zap.String("error", err.Error()))
-			}
-			failing = true
-			continue
-		}
-		failing = false
-		c.share.Meet(c.decode(rows))
-		pause = pacer.Jitter(meetEvery)
-	}
-}
-
-func (c *Conductor) decode(rows []feeder.Row) []sharer.Peer {
-	var peers []sharer.Peer
-	for _, row := range rows {
-		if !strings.HasPrefix(row.Key, rowPrefix) {
-			continue
-		}
-		var decoded peerRow
-		err := json.Unmarshal(row.Value, &decoded)
-		if err == nil {
-			_, err = netip.ParseAddrPort(decoded.Addr)
-		}
-		if err != nil {
-			c.count.Add("rows", "malformed")
-			c.log.Warn("malformed row of an instance passed over", zap.String("key", row.Key), zap.String("error", err.Error()))
-			continue
-		}
-		peers = append(peers, sharer.Peer{Name: strings.TrimPrefix(row.Key, rowPrefix), DataCentre: decoded.Zone, Address: decoded.Addr})
-	}
-	return peers
-}
-
 // divide shares the budget of retries among the live instances.
 func (c *Conductor) divide(ctx context.Context) {
 	for pacer.Wait(ctx, shareEvery) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -48,7 +48,10 @@
 	transfer monitor.Load
 	// progress is when something came for this request last, in nanoseconds
 	// since sentAt; abandoned is set when too long nothing did.
-	progress  atomic.Int64
+	progress atomic.Int64
+	// patience is the silence after which the request is tried elsewhere, in
+	// nanoseconds.
+	patience  atomic.Int64
 	abandoned atomic.Bool
 	// closeBy is when the endpoint closes the connection, zero if unknown.
 	closeBy time.Time
@@ -61,22 +64,22 @@
 		t.weights = c.place.Weights(c.request.Model)
 	}
 	t.load = monitor.Load{Requests: 1, Unread: t.unread, Memory: c.request.Prompt + c.request.Output}
-	c.place.Begin(t.load, r.now())
+	c.place.Begin(t.load, r.ports.Now())
 	defer func() { c.place.End(t.load) }()
 	if len(c.request.Parts) > 0 {
 		t.store = r.saves(t)
 		r.keeps(t, false)
 		defer t.giveUp()
-		t.fetching(r.now())
+		t.fetching(r.ports.Now())
 		defer t.fetched()
 	}
-	conn, err := r.pool.Get(t.entry.Address, false)
+	conn, err := r.ports.Pool.Get(t.entry.Address, false)
 	if err != nil {
-		c.place.Failed(r.now())
+		c.place.Failed(r.ports.Now())
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "dial endpoint %s: %s", t.entry.Name, err)
 	}
 	t.conn = conn
-	t.sentAt = r.now()
+	t.sentAt = r.ports.Now()
 	defer r.watch(t)()
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reusable, refusal := r.exchange(ctx, t)
@@ -84,7 +87,7 @@
 		_ = conn.Close()
 		return refusal
 	}
-	r.pool.Put(t.entry.Address, conn, t.closeBy)
+	r.ports.Pool.Put(t.entry.Address, conn, t.closeBy)
 	return refusal
 }
 
@@ -120,7 +123,7 @@
 func (r *Relayer) send(t *try) *refuser.Refusal {
 	t.sends++
 	buffer := make([]byte, 0, 1024+min(len(t.request.Body), writeApart))
-	buffer = r.speaker.Encode(buffer, t.request, t.terms(), t.sentAt)
+	buffer = r.ports.Speaker.Encode(buffer, t.request, t.terms(), t.sentAt)
 	if len(t.request.Body) > writeApart {
 		t.written = make(chan error, 1)
 		go func() {
@@ -132,7 +135,7 @@
 	}
 	n, err := t.conn.Write(append(buffer, t.request.Body...))
 	if err != nil && n == 0 {
-		t.place.Failed(r.now())
+		t.place.Failed(r.ports.Now())
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "write to endpoint %s: %s", t.entry.Name, err)
 	}
 	return nil // what comes of a part of the request shows when the answer is read
@@ -178,13 +181,13 @@
 			return nil, speaker.Answer{}, r.lost(ctx, t, err)
 		}
 		r.heard(t)
-		said := r.speaker.Answer(head)
+		said := r.ports.Speaker.Answer(head)
 		if said.ID == t.request.ID || said.ID == "" && (said.NotRun || said.Moved) {
 			return head, said, nil
 		}
-		r.count.Add("answers", "stray")
+		r.ports.Count.Add("answers", "stray")
 		if said.ID == "" || head.Length == framer.UntilClose {
-			t.place.Failed(r.now())
+			t.place.Failed(r.ports.Now())
 			return nil, said, refuser.New(refuser.AnswerCrossed, judge.MayHaveRun, "endpoint %s answered with something else", t.entry.Name)
 		}
 		if _, err := head.ReadBody(t.conn.Reader, maxStray); err != nil {
@@ -197,17 +200,17 @@
 func (r *Relayer) refused(t *try, head *framer.Head, said speaker.Answer) (bool, *refuser.Refusal) {
 	_, err := head.ReadBody(t.conn.Reader, maxStray)
 	if !said.Moved || t.weights == t.place.Weights(t.request.Model) {
-		t.place.Failed(r.now())
+		t.place.Failed(r.ports.Now())
 	}
 	switch {
 	case said.Moved && said.Endpoint != "" && said.Endpoint != t.entry.Name:
-		t.place.Leave(r.now())
-		r.log.Warn("another endpoint has the address", zap.String("endpoint", t.entry.Name), zap.String("found", said.Endpoint))
+		t.place.Leave(r.ports.Now())
+		r.ports.Log.Warn("another endpoint has the address", zap.String("endpoint", t.entry.Name), zap.String("found", said.Endpoint))
 	case said.Moved && t.weights > 0:
-		r.ask(t.place)
+		r.ports.Ask(t.place)
 	}
 	refusal := refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s did not run it (%d)", t.entry.Name, head.Status)
-	return r.reuse(t, head, said, err), refusal.WithRetryAt(r.now().Add(retryAfter))
+	return r.reuse(t, head, said, err), refusal.WithRetryAt(r.ports.Now().Add(retryAfter))
 }
 
 // whole relays an answer that is not a stream once all of it has come.
@@ -217,7 +220,7 @@
 		return false, r.lost(ctx, t, err)
 	}
 	if head.Status < 300 && !said.Sealed {
-		t.place.Failed(r.now())
+		t.place.Failed(r.ports.Now())
 		return false, refuser.New(refuser.AnswerCrossed, judge.MayHaveRun, "endpoint %s did not mark its answer", t.entry.Name)
 	}
 	reusable := r.reuse(t, head, said, nil)
@@ -229,7 +232,7 @@
 		}
 	}
 	if head.Status < 500 {
-		t.place.Answered(float64(r.now().Sub(t.sentAt).Milliseconds()), t.choice.Neutral, r.now())
+		t.place.Answered(float64(r.ports.Now().Sub(t.sentAt).Milliseconds()), t.choice.Neutral, r.ports.Now())
 	}
 	t.answer.Whole(head.Status, passed(head), body, t.request.Head.Method != "HEAD")
 	return reusable, r.delivered(t)
@@ -249,7 +252,7 @@
 		return false
 	}
 	if said.Keep > 0 {
-		t.closeBy = r.now().Add(time.Duration(said.Keep)*time.Second - keepMargin)
+		t.closeBy = r.ports.Now().Add(time.Duration(said.Keep)*time.Second - keepMargin)
 	}
 	return true
 }
@@ -259,7 +262,7 @@
 	if ctx.Err() != nil {
 		return refuser.New(refuser.CallerGone, judge.MayHaveRun, "the caller left")
 	}
-	now := r.now()
+	now := r.ports.Now()
 	t.place.Failed(now)
 	var timeout net.Error
 	if t.abandoned.Load() {
@@ -269,11 +272,11 @@
 		return refuser.New(refuser.Timeout, judge.MayHaveRun, "endpoint %s did not answer in time", t.entry.Name)
 	}
 	if t.conn.Reused {
-		r.pool.Drop(t.entry.Address)
+		r.ports.Pool.Drop(t.entry.Address)
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err) {
 		loss := quarantiner.Loss{Endpoint: t.entry.Name, Incarnation: strconv.FormatInt(t.entry.Born, 10)}
-		r.alarm(r.ward.Lost(t.request.Fingerprint, loss, now))
+		r.ports.Alarm(r.ports.Ward.Lost(t.request.Fingerprint, loss, now))
 	}
 	return refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "endpoint %s: %s", t.entry.Name, err)
 }
--- a/relayer/keep.go
+++ b/relayer/keep.go
@@ -25,12 +25,12 @@
 		key := partKey(t.request, t.weights, part)
 		held, done := t.place.Keeps(key)
 		if !held || ready && !done {
-			r.keep(t.place, key, part.Tokens, ready)
+			r.ports.Keep(t.place, key, part.Tokens, ready)
 		}
 		t.place.Keep(key, part.Tokens, ready)
 		if ready && t.store != nil {
 			t.store.Keep(key, part.Tokens, true)
-			r.keep(t.store, key, part.Tokens, true)
+			r.ports.Keep(t.store, key, part.Tokens, true)
 		}
 	}
 }
@@ -48,7 +48,7 @@
 func (r *Relayer) saves(t *try) *monitor.Monitor {
 	stores := r.stores(t.request)
 	parts := t.request.Parts
-	if len(stores) == 0 || len(parts) < 2 || parts[0].Tokens < leastSaved || t.weights < r.beliefs.Named(t.request.Model).Newest() {
+	if len(stores) == 0 || len(parts) < 2 || parts[0].Tokens < leastSaved || t.weights < r.ports.Beliefs.Named(t.request.Model).Newest() {
 		return nil
 	}
 	if held, _ := stores[0].Keeps(partKey(t.request, t.weights, parts[0])); held {
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -10,19 +10,19 @@
 
 // record counts and logs how a request ended.
 func (r *Relayer) record(c *course, refusal *refuser.Refusal) {
-	took := r.now().Sub(c.request.At)
-	r.count.Observe("answer.millis", took.Milliseconds())
+	took := r.ports.Now().Sub(c.request.At)
+	r.ports.Count.Observe("answer.millis", took.Milliseconds())
 	if refusal != nil {
-		r.count.Add("refusal", string(refusal.Code))
-		r.log.Warn("request ended", append(r.inputs(c, took), outcome(refusal)...)...)
+		r.ports.Count.Add("refusal", string(refusal.Code))
+		r.ports.Log.Warn("request ended", append(r.inputs(c, took), outcome(refusal)...)...)
 		return
 	}
 	if c.request.Route.Stream {
-		r.count.Add("answers", "streamed")
+		r.ports.Count.Add("answers", "streamed")
 	} else {
-		r.count.Add("answers", "whole")
+		r.ports.Count.Add("answers", "whole")
 	}
-	if entry := r.log.Check(zap.InfoLevel, "request ended"); entry != nil {
+	if entry := r.ports.Log.Check(zap.InfoLevel, "request ended"); entry != nil {
 		entry.Write(append(r.inputs(c, took), zap.String("outcome", "answered"))...)
 	}
 }
@@ -30,16 +30,16 @@
 // placed logs where a request goes, so that it can be explained even if its
 // instance does not live to see its end.
 func (r *Relayer) placed(c *course) {
-	if entry := r.log.Check(zap.InfoLevel, "request placed"); entry != nil {
-		entry.Write(r.inputs(c, r.now().Sub(c.request.At))...)
+	if entry := r.ports.Log.Check(zap.InfoLevel, "request placed"); entry != nil {
+		entry.Write(r.inputs(c, r.ports.Now().Sub(c.request.At))...)
 	}
 }
 
 // failed logs an attempt after which the request goes on.
 func (r *Relayer) failed(c *course, cause *refuser.Refusal) {
-	r.count.Add("retry", string(cause.Code))
-	fields := append(r.inputs(c, r.now().Sub(c.request.At)), outcome(cause)...)
-	r.log.Warn("attempt failed; the request goes on", fields...)
+	r.ports.Count.Add("retry", string(cause.Code))
+	fields := append(r.inputs(c, r.ports.Now().Sub(c.request.At)), outcome(cause)...)
+	r.ports.Log.Warn("attempt failed; the request goes on", fields...)
 }
 
 func outcome(refusal *refuser.Refusal) []zap.Field {
@@ -48,7 +48,7 @@
 
 // inputs returns what decided about a request, with its version or age.
 func (r *Relayer) inputs(c *course, took time.Duration) []zap.Field {
-	now := r.now()
+	now := r.ports.Now()
 	fields := []zap.Field{
 		zap.String("request", c.request.ID), zap.String("route", c.request.Route.Name), zap.String("workspace", c.request.Workspace.Name),
 		zap.Int64("configuration", c.request.Table), zap.Int("sends", c.sends), zap.Int("runs", c.runs),
@@ -63,7 +63,7 @@
 	if c.request.Model == "" {
 		return fields
 	}
-	fields = append(fields, zap.Int("weights", view.Weights), zap.Int("newest", r.beliefs.Named(c.request.Model).Newest()),
+	fields = append(fields, zap.Int("weights", view.Weights), zap.Int("newest", r.ports.Beliefs.Named(c.request.Model).Newest()),
 		zap.Int("prompt", c.request.Prompt), zap.Int("unread", c.choice.Unread))
 	if c.source != nil {
 		fields = append(fields, zap.String("source", c.source.Entry().Name))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,7 +15,6 @@
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
-	"wisteriadrum/pacer"
 	"wisteriadrum/placer"
 	"wisteriadrum/pooler"
 	"wisteriadrum/quarantiner"
@@ -43,19 +41,7 @@
 
 // Relayer relays requests.
 type Relayer struct {
-	speaker    speaker.Speaker
-	beliefs    *registrar.Registrar
-	pool       *pooler.Pool
-	ward       *quarantiner.Ward
-	rule       budgeter.Rule
-	dataCentre string
-	expiry     time.Duration
-	keep       func(place *monitor.Monitor, part uint64, tokens int, ready bool)
-	ask        func(place *monitor.Monitor)
-	alarm      func(quarantiner.Case)
-	count      *counter.Counter
-	log        *zap.Logger
-	now        func() time.Time
+	ports Ports
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
@@ -91,10 +77,7 @@
 // New returns a relayer.
 func New(ports Ports) *Relayer {
 	return &Relayer{
-		speaker: ports.Speaker, beliefs: ports.Beliefs, pool: ports.Pool, ward: ports.Ward, rule: ports.Rule,
-		dataCentre: ports.DataCentre, expiry: ports.Expiry, keep: ports.Keep, ask: ports.Ask, alarm: ports.Alarm,
-		count: ports.Count, log: ports.Log, now: ports.Now,
-		budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, live: map[*try]struct{}{}, share: 1,
+		ports: ports, budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, live: map[*try]struct{}{}, share: 1,
 	}
 }
 
@@ -113,7 +96,7 @@
 	defer r.mu.Unlock()
 	budget := r.budgets[pool]
 	if budget == nil {
-		budget = budgeter.New(r.rule, r.now)
+		budget = budgeter.New(r.ports.Rule, r.ports.Now)
 		budget.Share(r.share)
 		r.budgets[pool] = budget
 	}
@@ -188,7 +171,7 @@
 
 // next finds the place of the next attempt.
 func (r *Relayer) next(ctx context.Context, c *course, ran judge.Verdict) *refuser.Refusal {
-	now := r.now()
+	now := r.ports.Now()
 	if ctx.Err() != nil {
 		return refuser.New(refuser.CallerGone, ran, "the caller left")
 	}
@@ -198,120 +181,13 @@
 	if refusal := r.recheck(c.request); refusal != nil {
 		return refusal
 	}
-	suspect, known := r.ward.Find(c.request.Fingerprint, now)
+	suspect, known := r.ports.Ward.Find(c.request.Fingerprint, now)
 	if known && suspect.Refused() {
 		return refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints", len(suspect.Losses)).WithRetryAt(suspect.Until)
 	}
 	return r.seat(ctx, c)
 }
 
-// seat chooses an endpoint and waits while none has room. A request that has
-// waited for half of its time is refused, so that its caller can come back.
-func (r *Relayer) seat(ctx context.Context, c *course) *refuser.Refusal {
-	refusal := r.place(c, r.now())
-	if refusal != nil || !c.choice.Full || c.answer.Begun() {
-		return refusal // a caller that has a part of the answer is not kept waiting
-	}
-	queue := r.queue(c.request.Pool.Name)
-	ticket := &queuer.Ticket{Urgency: c.request.Urgency(), Arrived: c.request.At, TargetBy: c.request.Route.TargetBy(c.request.At)}
-	queue.Join(ticket)
-	defer queue.Leave(ticket)
-	begun := r.now()
-	leaveBy := begun.Add(c.ends.Sub(begun) / 2)
-	for pacer.Wait(ctx, pacer.Jitter(seatEvery)) {
-		now := r.now()
-		if !now.Before(leaveBy) {
-			return refuser.New(refuser.Overloaded, judge.NotRun, "no engine had room for %d ms", now.Sub(begun).Milliseconds()).WithRetryAt(now.Add(retryAfter))
-		}
-		if queue.Ahead(ticket, now) > 0 {
-			continue
-		}
-		if refusal := r.place(c, now); refusal != nil || !c.choice.Full {
-			c.waited = now.Sub(begun)
-			return refusal
-		}
-	}
-	return refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
-}
-
-// recheck looks the request up again if the configuration has changed since.
-func (r *Relayer) recheck(request *requester.Request) *refuser.Refusal {
-	table := r.beliefs.Table()
-	if table != nil && table.Version == request.Table {
-		return nil
-	}
-	return Identify(request, table)
-}
-
-// place chooses an endpoint.
-func (r *Relayer) place(c *course, now time.Time) *refuser.Refusal {
-	request := c.request
-	monitors := r.beliefs.Fleet().Pool(request.Pool.Name)
-	need := placer.Need{Prompt: request.Prompt, Output: request.Output, DataCentre: r.dataCentre}
-	if request.Model != "" {
-		named := r.beliefs.Named(request.Model)
-		need.Newest, need.Floor = named.Newest(), named.Floor(now.Add(-r.expiry))
-	}
-	if len(monitors) == 0 {
-		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is known", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
-	}
-	candidates := make([]placer.Candidate, len(monitors))
-	var sources []placer.Source
-	var holders []*monitor.Monitor
-	offset := rand.IntN(len(monitors)) // equal costs go to different places
-	for i := range monitors {
-		one := monitors[(i+offset)%len(monitors)]
-		view := one.View(request.Model, now)
-		held, ready := keptTokens(one, request, view.Weights)
-		candidates[i] = placer.Candidate{View: view, Kept: held, Barred: c.has(one)}
-		if ready > 0 && !view.Shunned && !view.Loading && !view.Left {
-			sources = append(sources, placer.Source{DataCentre: view.Entry.DataCentre, Kept: ready, Weights: view.Weights, LinkMbps: view.Engine.LinkMbps})
-			holders = append(holders, one)
-		}
-	}
-	for _, store := range r.stores(request) {
-		view := store.View("", now)
-		if _, ready := keptTokens(store, request, need.Newest); ready > 0 && !view.Shunned {
-			sources = append(sources, placer.Source{DataCentre: view.Entry.DataCentre, Kept: ready, Weights: need.Newest, LinkMbps: view.Engine.LinkMbps, Ahead: view.Load.Unread})
-			holders = append(holders, store)
-		}
-	}
-	choice := placer.Choose(need, candidates, sources)
-	if choice.Place < 0 {
-		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is left", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
-	}
-	c.choice, c.place, c.source = choice, monitors[(choice.Place+offset)%len(monitors)], nil
-	if choice.Fetch >= 0 {
-		c.source = holders[choice.Fetch]
-	}
-	return nil
-}
-
-// stores returns the stores that may keep parts of the request's prompt.
-func (r *Relayer) stores(request *requester.Request) []*monitor.Monitor {
-	if len(request.Parts) == 0 {
-		return nil
-	}
-	return r.beliefs.Fleet().Stores()
-}
-
-// keptTokens returns how much of the prompt's beginning the endpoint keeps or
-// is reading, and how much of it is ready.
-func keptTokens(one *monitor.Monitor, request *requester.Request, weights int) (held, ready int) {
-	all := true
-	for _, part := range request.Parts {
-		has, done := one.Keeps(partKey(request, weights, part))
-		if !has {
-			break
-		}
-		held += part.Tokens
-		if all = all && done; all {
-			ready = held
-		}
-	}
-	return held, ready
-}
-
 // again decides whether the request goes to another endpoint after cause.
 func (r *Relayer) again(ctx context.Context, c *course, cause *refuser.Refusal) bool {
 	if ctx.Err() != nil || c.answer.Err() != nil {
@@ -324,7 +200,7 @@
 		return false
 	}
 	if c.sends > 0 && !r.budget(c.request.Pool.Name).Spend() {
-		r.count.Add("retry", "exhausted")
+		r.ports.Count.Add("retry", "exhausted")
 		return false
 	}
 	c.tried = append(c.tried, c.place)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -21,7 +21,7 @@
 // stream can go on at another endpoint after the last one.
 func (r *Relayer) stream(ctx context.Context, t *try, head *framer.Head, said speaker.Answer) (bool, *refuser.Refusal) {
 	if !said.Sealed {
-		t.place.Failed(r.now())
+		t.place.Failed(r.ports.Now())
 		return false, refuser.New(refuser.AnswerCrossed, judge.MayHaveRun, "endpoint %s did not mark its answer", t.entry.Name)
 	}
 	body := head.Body(t.conn.Reader)
@@ -78,8 +78,8 @@
 		return
 	}
 	t.answer.Begin(head.Status, passed(head), data)
-	t.first = int(r.now().Sub(t.request.At).Milliseconds())
-	r.count.Observe("first.millis", int64(t.first))
+	t.first = int(r.ports.Now().Sub(t.request.At).Milliseconds())
+	r.ports.Count.Observe("first.millis", int64(t.first))
 }
 
 // firstEvent notes that the prompt has been read.
@@ -89,7 +89,8 @@
 	own.Requests, own.Memory, own.Unread = 0, 0, t.unread
 	t.place.End(own)
 	t.unread = 0
-	now := r.now()
+	t.patience.Store(int64(streamSilence))
+	now := r.ports.Now()
 	t.place.Answered(float64(now.Sub(t.sentAt).Milliseconds()), t.choice.Neutral, now)
 	r.keeps(t, true)
 	t.fetched()
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -24,7 +24,7 @@
 // without a word: connections to them hang.
 func (r *Relayer) Watch(ctx context.Context) {
 	for pacer.Wait(ctx, watchEvery) {
-		now := r.now()
+		now := r.ports.Now()
 		for _, t := range r.silent(now) {
 			t.abandoned.Store(true)
 			_ = t.conn.SetDeadline(time.Unix(1, 0)) // wakes the reader, which reports what came of it
@@ -38,7 +38,7 @@
 	defer r.mu.Unlock()
 	var silent []*try
 	for t := range r.live {
-		limit := t.patience()
+		limit := time.Duration(t.patience.Load())
 		if t.place.Silent(now) > limit && now.Sub(t.sentAt)-time.Duration(t.progress.Load()) > limit {
 			silent = append(silent, t)
 		}
@@ -51,6 +51,7 @@
 	if !t.request.Repeats() || t.runs+1 >= t.request.Route.Attempts {
 		return func() {}
 	}
+	t.patience.Store(int64(t.firstPatience()))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.live[t] = struct{}{}
@@ -63,20 +64,18 @@
 
 // heard notes that something came from the endpoint for this request.
 func (r *Relayer) heard(t *try) {
-	now := r.now()
+	now := r.ports.Now()
 	t.progress.Store(int64(now.Sub(t.sentAt)))
 	t.place.Heard(now)
 }
 
-// patience returns the silence after which the request is tried elsewhere.
-func (t *try) patience() time.Duration {
+// firstPatience returns the silence before an answer begins after which the
+// request is tried elsewhere.
+func (t *try) firstPatience() time.Duration {
 	predicted := time.Duration(t.choice.Millis) * time.Millisecond
-	if t.request.Route.Repeat == router.Repeatable {
-		target := time.Duration(t.request.Route.Target) * time.Millisecond
-		return max(2*predicted, time.Duration(targetShare*float64(target)))
+	if t.request.Route.Repeat != router.Repeatable {
+		return streamSilence + 2*predicted
 	}
-	if t.unread == 0 {
-		return streamSilence
-	}
-	return streamSilence + 2*predicted
+	target := time.Duration(t.request.Route.Target) * time.Millisecond
+	return max(2*predicted, time.Duration(targetShare*float64(target)))
 }
--- a/router/router.go
+++ b/router/router.go
@@ -34,8 +34,6 @@
 	Timeout int
 	// Target is the time within which an answer is on time, in milliseconds.
 	Target int
-	// Gap is the longest pause in a stream that is on time, in milliseconds.
-	Gap int
 	// Priority is the rank of the route's requests, 0 the most urgent.
 	Priority int
 	// Attempts is the number of endpoints on which one request may run.
@@ -62,8 +60,6 @@
 // Pool is a set of endpoints that do the same work.
 type Pool struct {
 	Name string
-	// Connections is the most connections that one endpoint takes.
-	Connections int
 	// Engine describes the model engines of the pool, nil for plain services.
 	Engine *Engine
 }
