--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -48,7 +48,8 @@
 
 // watch has t watched and returns the function that ends that.
 func (r *Relayer) watch(t *try) func() {
-	if !t.request.Repeats() || t.runs+1 >= t.request.Route.Attempts {
+	// Silence ends no answer that could not go on elsewhere.
+	if !t.request.Repeats() || t.runs+1 >= t.request.Route.Attempts || t.sends+1 >= mostSends {
 		return func() {}
 	}
 	t.patience.Store(int64(t.firstPatience()))
