--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -55,6 +55,8 @@
 // Options are the settings of an instance.
 type Options struct {
 	Name, DataCentre string
+	// Rate is the rate of the instance's link in Mbit/s, 0 if unknown.
+	Rate int
 	// Caller, Ready, Peer and Metrics are the addresses listened on. An empty
 	// Metrics is not opened.
 	Caller, Ready, Peer, Metrics string
@@ -124,8 +126,8 @@
 		c.feeders = append(c.feeders, feeder.New(ports.Source, table.Name, table.Apply, count, log))
 	}
 	c.inform = informer.New(c.feeders, ports.Dial, count, log)
-	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.Peer}
-	c.share = sharer.New(self, time.Now().UnixNano(), packets, beliefs, ward, count, log, time.Now, c.feeders[0].Again)
+	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.Peer, Rate: options.Rate}
+	c.share = sharer.New(self, time.Now().UnixNano(), packets, beliefs, ward, c.inform, count, log, time.Now)
 	c.relay = relayer.New(relayer.Ports{
 		Speaker: ports.Speaker, Beliefs: beliefs, Pool: pooler.New(ports.Dial, time.Now), Ward: ward, Rule: options.Retries,
 		DataCentre: options.DataCentre, Expiry: time.Duration(options.Expiry) * time.Millisecond, Keep: c.share.Keep, Ask: func(place *monitor.Monitor) { c.roll.Ask(place) }, Alarm: c.share.Alarm, Count: count, Log: log, Now: time.Now,
@@ -177,7 +179,7 @@
 	go c.roll.Run(background)
 	go c.relay.Watch(background)
 	go c.meet(background)
-	go c.inform.Run(background, c.share.Addresses)
+	go c.inform.Run(background, c.share.Hub, c.share.Addresses)
 	go c.divide(background)
 	c.log.Info("instance serving", zap.String("name", c.options.Name), zap.String("caller", c.options.Caller))
 	select {
@@ -239,6 +241,6 @@
 // divide shares the budget of retries among the live instances.
 func (c *Conductor) divide(ctx context.Context) {
 	for pacer.Wait(ctx, shareEvery) {
-		c.relay.Share(len(c.share.Live()))
+		c.relay.Share(c.share.Size())
 	}
 }
--- a/conductor/meet.go
+++ b/conductor/meet.go
@@ -31,6 +31,10 @@
 	pause := pacer.Jitter(firstMeet)
 	for pacer.Wait(ctx, pause) {
 		pause = meetRetry
+		if written && c.share.Hub() != "" {
+			pause = meetEvery // the hub knows the others
+			continue
+		}
 		var rows []feeder.Row
 		var err error
 		if !written {
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +26,11 @@
 	gather = 30 * time.Millisecond
 	// readTimeout bounds the reading of a whole table.
 	readTimeout = 3 * time.Second
+	// restEvery is the interval at which a feeder that is supplied by another
+	// instance looks whether it still is.
+	restEvery = 100 * time.Millisecond
+	// mostDeleted bounds the deleted rows that are remembered for others.
+	mostDeleted = 1000
 )
 
 // ErrHistory means that the changes asked for are no longer kept.
@@ -37,12 +41,19 @@
 	Key     string
 	Value   []byte
 	Deleted bool
+	// Version is when the row was written or deleted, 0 if that is not known.
+	Version uint64
 }
 
 // Page is rows as of a version.
 type Page struct {
 	Rows    []Row
 	Version uint64
+	// Whole reports that there are no other rows; else these changed.
+	Whole bool
+	// Content is the version of the last change that the sender knows, 0 if
+	// the rows tell it.
+	Content uint64
 }
 
 // Source is the store.
@@ -59,21 +70,27 @@
 	source Source
 	table  string
 	apply  func(rows []Row, whole bool)
-	again  chan struct{}
 	count  *counter.Counter
 	log    *zap.Logger
 	lost   atomic.Bool
 
 	mu sync.Mutex
 	// after is where the changes go on, 0 to read the table whole; newest is
-	// the newest version seen, and rows the table as of it.
-	after, newest uint64
-	rows          map[string]Row
+	// the newest version seen, content that of the last change, and rows the
+	// table as of it, with what was deleted since the version horizon.
+	after, newest, content, horizon uint64
+
+	rows    map[string]Row
+	deleted int
+	// changed is closed when a newer change is known or the store is lost.
+	changed chan struct{}
+	// supplyBy is until when another instance brings the changes.
+	supplyBy time.Time
 }
 
 // New returns a feeder that hands rows to apply; whole says that there are no others.
 func New(source Source, table string, apply func(rows []Row, whole bool), count *counter.Counter, log *zap.Logger) *Feeder {
-	return &Feeder{source: source, table: table, apply: apply, again: make(chan struct{}, 1), count: count, log: log, rows: map[string]Row{}}
+	return &Feeder{source: source, table: table, apply: apply, count: count, log: log, rows: map[string]Row{}, changed: make(chan struct{})}
 }
 
 // Name returns the name of the table.
@@ -82,42 +99,84 @@
 // Lost reports whether the store does not answer.
 func (f *Feeder) Lost() bool { return f.lost.Load() }
 
-// Again has the table read whole after the watch under way.
-func (f *Feeder) Again() {
-	select {
-	case f.again <- struct{}{}:
-	default:
-	}
+// Version returns the newest version that is known.
+func (f *Feeder) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
 }
 
-// Snapshot returns the table as far as it is known.
-func (f *Feeder) Snapshot() Page {
+// Content returns the version of the last change that is known.
+func (f *Feeder) Content() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Page{Rows: slices.Collect(maps.Values(f.rows)), Version: f.newest}
+	return f.content
 }
 
-// Offer takes in the table as another instance knows it, if that is newer, and
-// reports whether it was.
+// Changed returns a channel that is closed once another change is known, or
+// once the store does not answer.
+func (f *Feeder) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Since returns the rows that changed after a version, or the whole table if
+// that is not known.
+func (f *Feeder) Since(version uint64) Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	page := Page{Version: f.newest, Content: f.content, Whole: version < f.horizon || version == 0}
+	for _, row := range f.rows {
+		if page.Whole && !row.Deleted || !page.Whole && row.Version > version {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page
+}
+
+// Offer takes in the table or its changes since the version known here as
+// another instance knows them, if that is newer, and reports whether it was.
 func (f *Feeder) Offer(page Page) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if page.Version <= f.newest {
 		return false
 	}
-	f.take(page, true)
+	f.take(page)
 	return true
 }
 
+// Supply says that another instance brings the changes until by, so that the
+// store is not asked.
+func (f *Feeder) Supply(by time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.supplyBy = by
+	if !by.IsZero() && f.lost.Swap(false) {
+		f.log.Info("another instance brings the table", zap.String("table", f.table), zap.Uint64("version", f.newest))
+	}
+}
+
+func (f *Feeder) supplied() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest > 0 && time.Now().Before(f.supplyBy)
+}
+
 // Run follows the table until ctx ends.
 func (f *Feeder) Run(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if f.supplied() {
+			pacer.Wait(ctx, restEvery)
+			continue
+		}
 		err := f.step(ctx)
 		switch {
 		case err == nil:
 			if f.lost.Swap(false) {
-				f.log.Info("store answers again", zap.String("table", f.table), zap.Uint64("version", f.Snapshot().Version))
+				f.log.Info("store answers again", zap.String("table", f.table), zap.Uint64("version", f.Version()))
 			}
 			pause = retryFirst
 			pacer.Wait(ctx, gather)
@@ -136,16 +195,14 @@
 func (f *Feeder) fail(ctx context.Context, err error) {
 	f.count.Add("store", "failed")
 	if ctx.Err() == nil && !f.lost.Swap(true) {
-		f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("version", f.Snapshot().Version), zap.String("error", err.Error()))
+		f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("version", f.Version()), zap.String("error", err.Error()))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.signal()
 	}
 }
 
 func (f *Feeder) step(ctx context.Context) error {
-	select {
-	case <-f.again:
-		return f.read(ctx)
-	default:
-	}
 	after := f.position()
 	if after == 0 {
 		return f.read(ctx)
@@ -158,7 +215,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if page.Version > f.newest {
-		f.take(page, false)
+		f.take(page)
 	}
 	return nil
 }
@@ -179,26 +236,62 @@
 	if page.Version < f.newest {
 		return ErrStale
 	}
-	f.take(page, true)
+	page.Whole = true
+	f.take(page)
 	return nil
 }
 
 // take applies a whole table or changes. The caller holds the lock, so that
 // changes are applied in order.
-func (f *Feeder) take(page Page, whole bool) {
-	if whole {
-		f.rows = map[string]Row{}
+func (f *Feeder) take(page Page) {
+	if page.Whole {
+		f.rows, f.deleted, f.horizon = map[string]Row{}, 0, page.Version
+	}
+	content := max(f.content, page.Content)
+	if page.Whole && page.Content == 0 {
+		content = page.Version // the last change is not known, but none came after
 	}
 	for _, row := range page.Rows {
-		f.rows[row.Key] = row
-		if row.Deleted {
-			delete(f.rows, row.Key)
+		if row.Version == 0 {
+			row.Version = page.Version
 		}
+		content = max(content, row.Version)
+		f.put(row)
+	}
+	if f.deleted > mostDeleted {
+		f.prune(page.Version)
 	}
 	f.after, f.newest = page.Version, page.Version
-	if whole || len(page.Rows) > 0 {
-		f.apply(page.Rows, whole)
+	if page.Whole || len(page.Rows) > 0 {
+		f.apply(page.Rows, page.Whole)
 	}
+	if content > f.content {
+		f.content = content
+		f.signal()
+	}
+}
+
+// signal wakes who waits for a change. The caller holds the lock.
+func (f *Feeder) signal() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Feeder) put(row Row) {
+	if f.rows[row.Key].Deleted {
+		f.deleted--
+	}
+	if row.Deleted {
+		f.deleted++
+	}
+	f.rows[row.Key] = row
+}
+
+// prune forgets what was deleted, after which changes are only known from
+// version on.
+func (f *Feeder) prune(version uint64) {
+	maps.DeleteFunc(f.rows, func(_ string, row Row) bool { return row.Deleted })
+	f.deleted, f.horizon = 0, version
 }
 
 func (f *Feeder) position() uint64 {
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -114,10 +114,10 @@
 	assert.Assert(t, !feed.Offer(page(5, "c")))
 	assert.Assert(t, !feed.Offer(page(4, "c")))
 	assert.DeepEqual(t, applied, []string{"a", "b"})
-	assert.Equal(t, len(feed.Snapshot().Rows), 2)
+	assert.Equal(t, len(feed.Since(0).Rows), 2)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	source.steps = []step{{page: page(6)}}
 	feed.Run(ctx)
-	assert.Equal(t, feed.Snapshot().Version, uint64(5))
+	assert.Equal(t, feed.Version(), uint64(5))
 }
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -1,6 +1,7 @@
-// Package informer lets an instance that does not reach the store have the
-// followed tables from another that did, so that it serves after a start
-// during an outage and goes on with what is newest when it alone is cut off.
+// Package informer lets instances have the followed tables from one another:
+// from their hub, so that the store answers only the hubs, and from any peer
+// that knows more, so that an instance serves after a start during an outage
+// and goes on with what is newest when it alone is cut off.
 package informer
 
 import (
@@ -22,92 +23,97 @@
 	// askEvery is the interval at which a peer is asked while the store does
 	// not answer.
 	askEvery = 300 * time.Millisecond
+	// behindFor is how long an instance waits for news to come by itself
+	// before it asks the peer that knows more: the way of a large table over a
+	// slow link.
+	behindFor = 400 * time.Millisecond
 	// callTimeout bounds a call to a peer.
 	callTimeout = time.Second
-	service     = "Tables"
+	// waitMost is how long a hub keeps a question until it knows more: well
+	// within the history that the store keeps.
+	waitMost = 4 * time.Second
+	// supplySlack is added to the wait for the answer's way; after it the
+	// instance follows the store by itself.
+	supplySlack = 500 * time.Millisecond
+	// hubCheck is the interval at which one that waits for its hub looks
+	// whether it still is its hub.
+	hubCheck = 200 * time.Millisecond
+	// hubPause is how long a hub that does not answer is left alone.
+	hubPause = 2 * time.Second
+	service  = "Tables"
 )
 
 // Informer asks and answers other instances for tables.
 type Informer struct {
 	feeders []*feeder.Feeder
 	dial    func(address string) (net.Conn, error)
+	behind  chan string
 	count   *counter.Counter
 	log     *zap.Logger
 }
 
 // New returns an informer of the tables that feeders follow.
 func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), count *counter.Counter, log *zap.Logger) *Informer {
-	return &Informer{feeders: feeders, dial: dial, count: count, log: log}
+	return &Informer{feeders: feeders, dial: dial, behind: make(chan string, 1), count: count, log: log}
 }
 
-// answerer is the side of an informer that others call.
-type answerer struct {
-	feeders []*feeder.Feeder
-}
-
-// Question names the versions of the tables that the asker knows.
-type Question struct {
-	Versions map[string]uint64
+// Versions returns the versions of the last changes of the tables that are
+// known here.
+func (i *Informer) Versions() []uint64 {
+	versions := make([]uint64, len(i.feeders))
+	for at, feed := range i.feeders {
+		versions[at] = feed.Content()
+	}
+	return versions
 }
 
-// Answer holds the tables of which the answerer knows more.
-type Answer struct {
-	Tables map[string]feeder.Page
+// Behind says that the peer at address knows a newer change.
+func (i *Informer) Behind(address string) {
+	select {
+	case i.behind <- address:
+	default: // another peer is about to be asked
+	}
 }
 
-// Newer answers with the tables that are newer than the asker's.
-func (a *answerer) Newer(question Question, answer *Answer) error {
-	answer.Tables = map[string]feeder.Page{}
-	for _, feed := range a.feeders {
-		page := feed.Snapshot()
-		if page.Version > question.Versions[feed.Name()] {
-			answer.Tables[feed.Name()] = page
+// Run has the tables from the hub at the address that hub returns, and asks
+// one of the peers at addresses while the store does not answer, until ctx
+// ends.
+func (i *Informer) Run(ctx context.Context, hub func() string, addresses func() []string) {
+	go i.follow(ctx, hub)
+	go i.catchUp(ctx)
+	for pacer.Wait(ctx, pacer.Jitter(askEvery)) {
+		if peers := addresses(); i.lost() && len(peers) > 0 {
+			i.askOnce(peers[rand.IntN(len(peers))])
 		}
 	}
-	return nil
 }
 
-// Serve answers other instances until listener is closed.
-func (i *Informer) Serve(listener net.Listener) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(service, &answerer{feeders: i.feeders}); err != nil {
-		return err
-	}
+// catchUp asks peers that know more, if what they know does not come by
+// itself.
+func (i *Informer) catchUp(ctx context.Context) {
 	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			i.log.Warn("connection of a peer not accepted", zap.String("error", err.Error()))
-			time.Sleep(askEvery)
-			continue
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-i.behind:
+			before := i.Versions()
+			if !pacer.Wait(ctx, behindFor) {
+				return
+			}
+			if !moved(before, i.Versions()) {
+				i.askOnce(address)
+			}
 		}
-		if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
-			_ = conn.Close()
-			continue
-		}
-		go server.ServeConn(conn)
 	}
 }
 
-// Run asks one of the peers at addresses while the store does not answer,
-// until ctx ends.
-func (i *Informer) Run(ctx context.Context, addresses func() []string) {
-	for pacer.Wait(ctx, pacer.Jitter(askEvery)) {
-		if !i.lost() {
-			continue
-		}
-		peers := addresses()
-		if len(peers) == 0 {
-			continue
-		}
-		address := peers[rand.IntN(len(peers))]
-		if err := i.ask(address); err != nil {
-			i.count.Add("tables", "unanswered")
-			i.log.Info("peer did not tell its tables", zap.String("peer", address), zap.String("error", err.Error()))
+func moved(before, after []uint64) bool {
+	for at, version := range after {
+		if version > before[at] {
+			return true
 		}
 	}
+	return false
 }
 
 func (i *Informer) lost() bool {
@@ -119,29 +125,137 @@
 	return false
 }
 
-// ask takes in what one peer knows more.
-func (i *Informer) ask(address string) error {
+// follow has the tables from the hub while there is one that answers.
+func (i *Informer) follow(ctx context.Context, hub func() string) {
+	var client *rpc.Client
+	var from string
+	for ctx.Err() == nil {
+		address := hub()
+		if address != from && client != nil {
+			_ = client.Close() // nothing is lost with it
+			client = nil
+		}
+		from = address
+		if address == "" {
+			i.supply(time.Time{})
+			pacer.Wait(ctx, hubCheck)
+			continue
+		}
+		var err error
+		if client == nil {
+			client, err = i.connect(address)
+		}
+		if err == nil {
+			err = i.await(client, func() bool { return hub() == address })
+		}
+		if err == nil {
+			continue
+		}
+		i.supply(time.Time{})
+		i.count.Add("tables", "unanswered")
+		i.log.Info("hub does not tell the tables; the store is followed", zap.String("peer", address), zap.String("error", err.Error()))
+		if client != nil {
+			_ = client.Close() // it failed
+			client = nil
+		}
+		pacer.Wait(ctx, hubPause)
+	}
+}
+
+func (i *Informer) connect(address string) (*rpc.Client, error) {
 	conn, err := i.dial(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer conn.Close() //nolint:errcheck // the answer is in by then
-	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+	return rpc.NewClient(conn), nil
+}
+
+// errLost is the answer of a hub that does not reach the store.
+var errLost = errors.New("the hub has lost the store")
+
+// await waits for news from the hub and takes them in.
+func (i *Informer) await(client *rpc.Client, valid func() bool) error {
+	i.supply(time.Now().Add(waitMost + supplySlack))
+	answer, err := i.call(client, waitMost, valid)
+	if err != nil {
 		return err
 	}
-	question := Question{Versions: map[string]uint64{}}
+	if answer.Lost {
+		err = errLost
+	}
+	return errors.Join(err, i.take(answer, func(*feeder.Feeder) {}))
+}
+
+// supply tells the feeders that a hub brings the tables until by.
+func (i *Informer) supply(by time.Time) {
+	for _, feed := range i.feeders {
+		feed.Supply(by)
+	}
+}
+
+// errGone means that a hub is none any more or is silent.
+var errGone = errors.New("the hub is gone")
+
+// call asks for what is newer, for which the peer may wait while it is valid.
+func (i *Informer) call(client *rpc.Client, wait time.Duration, valid func() bool) (Answer, error) {
+	question := Question{Versions: map[string]uint64{}, WaitMillis: int(wait.Milliseconds())}
 	for _, feed := range i.feeders {
-		question.Versions[feed.Name()] = feed.Snapshot().Version
+		question.Versions[feed.Name()] = feed.Version()
 	}
 	var answer Answer
-	if err := rpc.NewClient(conn).Call(service+".Newer", question, &answer); err != nil {
+	call := client.Go(service+".Newer", question, &answer, make(chan *rpc.Call, 1))
+	ticker := time.NewTicker(hubCheck)
+	defer ticker.Stop()
+	for begun := time.Now(); ; {
+		select {
+		case <-call.Done:
+			return answer, call.Error
+		case <-ticker.C:
+			if !valid() || time.Since(begun) > wait+callTimeout {
+				return Answer{}, errGone
+			}
+		}
+	}
+}
+
+// askOnce takes in what the peer at address knows more.
+func (i *Informer) askOnce(address string) {
+	if err := i.ask(address); err != nil {
+		i.count.Add("tables", "unanswered")
+		i.log.Info("peer did not tell its tables", zap.String("peer", address), zap.String("error", err.Error()))
+	}
+}
+
+func (i *Informer) ask(address string) error {
+	client, err := i.connect(address)
+	if err != nil {
+		return err
+	}
+	defer client.Close() //nolint:errcheck // the answer is in by then
+	answer, err := i.call(client, 0, func() bool { return true })
+	if err != nil {
 		return err
 	}
+	return i.take(answer, func(feed *feeder.Feeder) {
+		i.log.Info("table taken from a peer", zap.String("table", feed.Name()), zap.String("peer", address), zap.Uint64("version", feed.Version()))
+	})
+}
+
+// take offers what an answer brings to the feeders and calls taken for those
+// that take it.
+func (i *Informer) take(answer Answer, taken func(*feeder.Feeder)) error {
 	for _, feed := range i.feeders {
-		page, ok := answer.Tables[feed.Name()]
-		if ok && feed.Lost() && feed.Offer(page) {
+		data, ok := answer.Tables[feed.Name()]
+		if !ok {
+			continue
+		}
+		page, err := unpack(data)
+		if err != nil {
+			return err
+		}
+		if feed.Offer(page) {
 			i.count.Add("tables", "taken")
-			i.log.Info("table taken from a peer", zap.String("table", feed.Name()), zap.String("peer", address), zap.Uint64("version", page.Version))
+			taken(feed)
 		}
 	}
 	return nil
--- /dev/null
+++ b/informer/packer.go
@@ -0,0 +1,52 @@
+package informer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"wisteriadrum/compressor"
+	"wisteriadrum/feeder"
+)
+
+// packer packs pages for others and keeps the last of each table, since many
+// ask for the same at about the same time.
+type packer struct {
+	mu   sync.Mutex
+	last map[string]packed
+}
+
+type packed struct {
+	known, version uint64
+	data           []byte
+}
+
+func newPacker() *packer { return &packer{last: map[string]packed{}} }
+
+// page returns a page of table with what came after the version known.
+func (p *packer) page(table string, known uint64, page feeder.Page) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last := p.last[table]; last.known == known && last.version == page.Version {
+		return last.data, nil
+	}
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(page); err != nil {
+		return nil, eris.Wrap(err, "encode page")
+	}
+	next := packed{known: known, version: page.Version, data: compressor.Pack(buffer.Bytes())}
+	p.last[table] = next
+	return next.data, nil
+}
+
+// unpack returns the page that data is.
+func unpack(data []byte) (feeder.Page, error) {
+	var page feeder.Page
+	text, err := compressor.Unpack(data)
+	if err != nil {
+		return page, err
+	}
+	return page, eris.Wrap(gob.NewDecoder(bytes.NewReader(text)).Decode(&page), "decode page")
+}
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -16,9 +16,9 @@
 	// after failures; it doubles with each in a row.
 	shunFirst = 250 * time.Millisecond
 	shunMost  = 4 * time.Second
-	// peerStale is the age at which a peer's word on load is dropped: ten of
-	// its shortest intervals.
-	peerStale = time.Second
+	// peerStale is the age at which a peer's word on load is dropped: four of
+	// the longest intervals at which it is told.
+	peerStale = 2 * time.Second
 	// scaleHalf is the time in which half of what was learned of an endpoint's
 	// pace is forgotten.
 	scaleHalf = 3 * time.Second
@@ -167,6 +167,26 @@
 	m.peers[peer] = peerLoad{load: load, staleBy: now.Add(peerStale)}
 }
 
+// Forget drops what other instances told of their work.
+func (m *Monitor) Forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.peers)
+}
+
+// Shares returns the work that other instances told of late, by their names.
+func (m *Monitor) Shares(now time.Time) map[string]Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	shares := make(map[string]Load, len(m.peers)+1)
+	for peer, told := range m.peers {
+		if now.Before(told.staleBy) {
+			shares[peer] = told.load
+		}
+	}
+	return shares
+}
+
 // Keep notes that the endpoint holds a part, or is about to if it is not ready.
 func (m *Monitor) Keep(part uint64, tokens int, ready bool) {
 	m.mu.Lock()
@@ -313,7 +333,7 @@
 	m.decay(now)
 	load := m.own
 	for peer, told := range m.peers {
-		if told.staleBy.Before(now) {
+		if !now.Before(told.staleBy) {
 			delete(m.peers, peer)
 			continue
 		}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -236,5 +237,6 @@
 
 // key names an incarnation of an endpoint in messages between instances.
 func key(entry monitor.Entry) uint64 {
-	return xxhash.Sum64String(entry.Name + "\x00" + entry.Address + "\x00" + strconv.FormatInt(entry.Born, 10))
+	sum := xxhash.Sum64String(entry.Name + "\x00" + entry.Address + "\x00" + strconv.FormatInt(entry.Born, 10))
+	return sum & math.MaxUint32 // short in messages, and unlikely to collide among thousands
 }
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -28,6 +28,8 @@
 	askPause = 500 * time.Millisecond
 	// stepAside is how long an instance waits for each candidate before it.
 	stepAside = 2 * time.Second
+	// takePause is the wait after the lease could not be taken.
+	takePause = 500 * time.Millisecond
 	// noticeWait lets the other instances hear that an engine goes out of
 	// service before it is ordered: one interval of notes.
 	noticeWait = 60 * time.Millisecond
@@ -84,6 +86,8 @@
 
 	held      holder.Section[leaser.Lease]
 	needSince time.Time
+	// takeBy is when the lease may be asked for again.
+	takeBy time.Time
 	// giving is held for reading while an order is given, and guards stopped
 	// and lastOrder.
 	giving    sync.RWMutex
@@ -193,7 +197,8 @@
 
 // take takes or renews the lease when it is this instance's turn.
 func (r *Roller) take(ctx context.Context) bool {
-	if r.now().Before(r.needSince.Add(time.Duration(r.rank()) * stepAside)) {
+	rank := r.rank()
+	if rank < 0 || r.now().Before(r.needSince.Add(time.Duration(rank)*stepAside)) || r.now().Before(r.takeBy) {
 		return false
 	}
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
@@ -205,6 +210,7 @@
 	if err != nil {
 		r.count.Add("orders", "no-lease")
 		r.share.Lead(false)
+		r.takeBy = r.now().Add(takePause)
 		if !errors.Is(err, leaser.ErrHeld) {
 			r.log.Warn("lease on orders not taken", zap.String("error", err.Error()))
 		}
@@ -218,19 +224,23 @@
 	return held.Valid(r.now())
 }
 
-// rank returns how many live instances go before this one: the last holder,
-// then the others by name.
+// rank returns how many live candidates go before this instance: the last
+// holder, then the others by name; -1 if it is no candidate itself.
 func (r *Roller) rank() int {
 	leader := r.share.Leader()
 	if leader == r.name {
 		return 0
 	}
-	rank := 0
+	rank, candidate := 0, false
 	for _, name := range r.share.Candidates() {
+		candidate = candidate || name == r.name
 		if name == leader || name < r.name {
 			rank++
 		}
 	}
+	if !candidate {
+		return -1
+	}
 	return rank
 }
 
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/informer"
 	"wisteriadrum/leaser"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
@@ -123,7 +124,7 @@
 		entries = append(entries, monitor.Entry{Name: fmt.Sprintf("e%d", i), Address: "10.0.0.1:80", Pool: "p", Weights: map[string]int{"m": 1}})
 	}
 	beliefs.PutEndpoints(entries, nil, time.Now(), time.Now())
-	share := sharer.New(sharer.Peer{Name: name, Address: "10.0.0.9:1"}, 1, deaf{}, beliefs, quarantiner.New(), count, zap.NewNop(), time.Now, func() {})
+	share := sharer.New(sharer.Peer{Name: name, Address: "10.0.0.9:1"}, 1, deaf{}, beliefs, quarantiner.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
 	lease := leaser.New(table, "lease", name, leaser.Terms{Length: 1500, Margin: 300}, time.Now)
 	r := roller.New(name, beliefs, hand{fleet: engines, holder: name}, lease, share, quiet, count, zap.NewNop(), time.Now)
 	go r.Run(ctx)
--- /dev/null
+++ b/sharer/export_test.go
@@ -0,0 +1,4 @@
+package sharer
+
+// Check decodes a datagram.
+func Check(data []byte) { _, _ = decode(data) }
--- a/sharer/hear.go
+++ b/sharer/hear.go
@@ -1,14 +1,12 @@
 package sharer
 
 import (
-	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"wisteriadrum/monitor"
+	"wisteriadrum/registrar"
 )
 
 // Listen takes in notes until the connection is closed.
@@ -19,8 +17,8 @@
 		if err != nil {
 			return err
 		}
-		var heard note
-		if err := json.Unmarshal(buffer[:n], &heard); err != nil {
+		heard, err := decode(buffer[:n])
+		if err != nil {
 			s.count.Add("notes", "malformed")
 			s.log.Warn("malformed note dropped", zap.String("error", err.Error()))
 			continue
@@ -29,25 +27,14 @@
 	}
 }
 
-func (s *Sharer) hear(heard note) {
+func (s *Sharer) hear(heard *note) {
 	now := s.now()
 	if !s.admit(heard, now) {
 		return
 	}
 	fleet := s.beliefs.Fleet()
-	named := make(map[uint64]bool, len(heard.Loads))
-	for _, l := range heard.Loads {
-		named[l.Key] = true
-		if one := fleet.Key(l.Key); one != nil {
-			one.Told(heard.Name, l.load(), now)
-		}
-	}
-	if heard.Full {
-		for _, one := range append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...) {
-			if !named[one.Key] {
-				one.Told(heard.Name, monitor.Load{}, now)
-			}
-		}
+	if s.speaksFor(heard) {
+		s.hearLoads(heard, fleet, now)
 	}
 	for _, p := range heard.Parts {
 		if one := fleet.Key(p.Key); one != nil {
@@ -67,13 +54,78 @@
 		}
 	}
 	s.ward.Merge(heard.Cases, now)
-	if table := s.beliefs.Table(); table == nil || heard.Table > table.Version {
-		s.newer()
+	if s.behind(heard) {
+		s.tables.Behind(heard.Addr)
+	}
+	s.pass(heard)
+}
+
+// speaksFor reports whether the loads of a note count here: those of hubs for
+// a hub, those of its own hub for another, and those of who reports here.
+func (s *Sharer) speaksFor(heard *note) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if heard.Hub == s.self.Name || heard.Name == s.self.hub {
+		return true
+	}
+	return s.self.hub == "" && heard.Flags.has(flagHub)
+}
+
+// hearLoads takes in loads; endpoints that are not named carry none.
+func (s *Sharer) hearLoads(heard *note, fleet *registrar.Fleet, now time.Time) {
+	named := make(map[uint64]bool, len(heard.Loads))
+	for _, l := range heard.Loads {
+		named[l.Key] = true
+		if one := fleet.Key(l.Key); one != nil {
+			one.Told(heard.Name, l.load(), now)
+		}
+	}
+	for _, one := range s.places() {
+		if named[one.Key] || heard.Flags.has(flagLocal) && one.Entry().DataCentre != heard.Zone {
+			continue
+		}
+		one.Told(heard.Name, monitor.Load{}, now)
+	}
+}
+
+// behind reports whether the sender knows a newer version of a table. The
+// news of the own hub come by themselves.
+func (s *Sharer) behind(heard *note) bool {
+	s.mu.Lock()
+	hub := s.self.hub
+	s.mu.Unlock()
+	if heard.Name == hub || heard.Hub != "" {
+		return false
+	}
+	for i, version := range s.tables.Versions() {
+		if i < len(heard.Tables) && heard.Tables[i] > version {
+			return true
+		}
+	}
+	return false
+}
+
+// pass queues the news of a note for those to whom this instance speaks, and
+// tells them at once what can't wait.
+func (s *Sharer) pass(heard *note) {
+	told := news{parts: heard.Parts, weights: heard.Weights, empty: heard.Empty, cases: heard.Cases}
+	s.mu.Lock()
+	if s.self.hub != "" || !told.any() {
+		s.mu.Unlock()
+		return
+	}
+	s.toGroup.add(told)
+	if heard.Hub == s.self.Name {
+		s.toHubs.add(told)
+	}
+	s.mu.Unlock()
+	if told.urgent() {
+		s.tell(false)
 	}
 }
 
 // admit notes the sender and reports whether the note is newer than its last.
-func (s *Sharer) admit(heard note, now time.Time) bool {
+func (s *Sharer) admit(heard *note, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if heard.Name == s.self.Name {
@@ -88,11 +140,14 @@
 	if peer == nil || s.silent(peer) {
 		s.log.Info("peer heard", zap.String("peer", heard.Name), zap.String("address", heard.Addr))
 	}
-	s.peers[heard.Name] = &Peer{Name: heard.Name, DataCentre: heard.Zone, Address: heard.Addr, leaving: heard.Leaving, boot: heard.Boot, seq: heard.Seq, silentBy: now.Add(silentAfter)}
-	if heard.Lead {
+	s.peers[heard.Name] = &Peer{
+		Name: heard.Name, DataCentre: heard.Zone, Address: heard.Addr, Rate: heard.Rate, flags: heard.Flags, hub: heard.Hub,
+		group: heard.Group, all: heard.All, boot: heard.Boot, seq: heard.Seq, silentBy: now.Add(silentAfter),
+	}
+	if heard.Flags.has(flagLead) {
 		s.leader = heard.Name
 	}
-	if heard.Gone {
+	if heard.Flags.has(flagGone) {
 		s.peers[heard.Name].silentBy = now
 	}
 	return true
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,14 +1,14 @@
 // Package sharer exchanges what instances know by datagrams: the load that
-// each puts on endpoints, where parts of prompts are kept, versions of weights
+// they put on endpoints, where parts of prompts are kept, versions of weights
 // and requests that crash endpoints. A lost datagram costs precision only.
+//
+// In each data centre a few instances, the hubs, speak for the others: an
+// instance reports to its hub, hubs tell each other the sums of those who
+// report to them, and tell each of these what all others do.
 package sharer
 
 import (
-	"context"
-	"encoding/json"
-	"maps"
 	"net"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -16,8 +16,8 @@
 	"go.uber.org/zap"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/elector"
 	"wisteriadrum/monitor"
-	"wisteriadrum/pacer"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
 )
@@ -25,17 +25,20 @@
 const (
 	// tick is the shortest interval of notes.
 	tick = 100 * time.Millisecond
-	// tickPeer lengthens the interval for each peer, so that the notes heard in
-	// a second are bounded.
-	tickPeer = 8 * time.Millisecond
-	// restEvery is the interval of notes that tell nothing new, in ticks.
-	restEvery = 5
+	// noteRate bounds what one instance sends to another, in bytes a second:
+	// the share of an instance's link that control may take.
+	noteRate = 4096
+	// restEvery is the interval of notes that tell nothing new.
+	restEvery = 500 * time.Millisecond
 	// recentFor is how long a version that became known is told again: three
 	// notes at rest.
-	recentFor = 1500 * time.Millisecond
-	// silentAfter is the silence after which a peer is taken to be gone: six
+	recentFor = 3 * restEvery
+	// silentAfter is the silence after which a peer is taken to be gone: four
 	// notes at rest.
-	silentAfter = 3 * time.Second
+	silentAfter = 4 * restEvery
+	// hubSilent is the silence after which a hub is not relied on: two notes at
+	// rest and their way.
+	hubSilent = 2*restEvery + 200*time.Millisecond
 	// forgetAfter is how long notes still go to a peer that is silent or has
 	// ended: it may start again while the store does not answer, and knows
 	// nobody then.
@@ -43,15 +46,31 @@
 	maxRead     = 64 << 10
 	// mostParts bounds the parts in a note, so that it is not cut up on its way.
 	mostParts = 40
+	// wideMost is the number of endpoints above which only notes at rest tell
+	// of those in other data centres.
+	wideMost = 100
 )
 
 // Peer is another instance.
 type Peer struct {
 	Name, DataCentre, Address string
-	leaving                   bool
-	boot                      int64
-	seq                       uint64
-	silentBy                  time.Time
+	// Rate is the rate of its link in Mbit/s, 0 if unknown.
+	Rate  int
+	flags flags
+	// hub is the one that it reports to.
+	hub        string
+	group, all int
+	boot       int64
+	seq        uint64
+	silentBy   time.Time
+}
+
+// Tables are the tables that instances follow.
+type Tables interface {
+	// Versions returns the versions of the tables that this instance knows.
+	Versions() []uint64
+	// Behind says that the instance at address knows a newer version.
+	Behind(address string)
 }
 
 // Sharer tells the peers what this instance knows and takes in what they tell.
@@ -60,31 +79,27 @@
 	conn    net.PacketConn
 	beliefs *registrar.Registrar
 	ward    *quarantiner.Ward
+	tables  Tables
 	count   *counter.Counter
 	log     *zap.Logger
 	now     func() time.Time
-	newer   func()
 
-	mu     sync.Mutex
-	seq    uint64
-	peers  map[string]*Peer
-	told   map[uint64]monitor.Load
-	parts  []part
-	news   []weights
-	cases  []quarantiner.Case
-	empty  []uint64
-	leader string
-	lead   bool
-	gone   bool
+	mu    sync.Mutex
+	elect *elector.Elector
+	seq   uint64
+	peers map[string]*Peer
+	// toHubs is news for the hubs, toGroup for those who report to this one.
+	toHubs, toGroup news
+	leader          string
+	idle            bool
 }
 
-// New returns a sharer for the instance self, which talks over conn. It calls
-// newer when a peer has a newer configuration.
-func New(self Peer, boot int64, conn net.PacketConn, beliefs *registrar.Registrar, ward *quarantiner.Ward, count *counter.Counter, log *zap.Logger, now func() time.Time, newer func()) *Sharer {
+// New returns a sharer for the instance self, which talks over conn.
+func New(self Peer, boot int64, conn net.PacketConn, beliefs *registrar.Registrar, ward *quarantiner.Ward, tables Tables, count *counter.Counter, log *zap.Logger, now func() time.Time) *Sharer {
 	self.boot = boot
 	return &Sharer{
-		self: self, conn: conn, beliefs: beliefs, ward: ward, count: count, log: log, now: now, newer: newer,
-		peers: map[string]*Peer{}, told: map[uint64]monitor.Load{},
+		self: self, conn: conn, beliefs: beliefs, ward: ward, tables: tables, count: count, log: log, now: now,
+		elect: elector.New(), peers: map[string]*Peer{},
 	}
 }
 
@@ -102,20 +117,72 @@
 
 func (s *Sharer) silent(peer *Peer) bool { return !s.now().Before(peer.silentBy) }
 
-// Live returns the names of the live instances, this one included, in order.
+// Live returns the names of the live instances that this one hears, itself
+// included, in order.
 func (s *Sharer) Live() []string {
+	return s.names(func(*Peer) bool { return true })
+}
+
+// Candidates returns the instances that may take the lease on orders, in
+// order: the hubs that do not end, and this one if it knows no other.
+func (s *Sharer) Candidates() []string {
+	return s.names(func(peer *Peer) bool { return peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) })
+}
+
+// names returns the names of the live peers that are chosen and of this
+// instance unless it reports to a hub.
+func (s *Sharer) names(chosen func(*Peer) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := []string{s.self.Name}
+	var names []string
 	for name, peer := range s.peers {
-		if !s.silent(peer) {
+		if !s.silent(peer) && chosen(peer) {
 			names = append(names, name)
 		}
 	}
+	if s.self.hub == "" || chosen(&s.self) {
+		names = append(names, s.self.Name)
+	}
 	sort.Strings(names)
 	return names
 }
 
+// Size returns the number of live instances.
+func (s *Sharer) Size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.size()
+}
+
+func (s *Sharer) size() int {
+	if hub := s.peers[s.self.hub]; hub != nil {
+		return max(1, hub.all)
+	}
+	size := s.group()
+	for _, peer := range s.peers {
+		if !s.silent(peer) && peer.flags.has(flagHub) {
+			size += max(1, peer.group)
+		}
+	}
+	return size
+}
+
+// group returns the number of instances that this one speaks for.
+func (s *Sharer) group() int {
+	group := 1
+	for _, peer := range s.peers {
+		if s.reports(peer) {
+			group++
+		}
+	}
+	return group
+}
+
+// reports tells whether a peer is live and reports to this instance.
+func (s *Sharer) reports(peer *Peer) bool {
+	return !s.silent(peer) && peer.hub == s.self.Name
+}
+
 // Addresses returns the addresses of the other live instances.
 func (s *Sharer) Addresses() []string {
 	s.mu.Lock()
@@ -129,18 +196,16 @@
 	return addresses
 }
 
-// Candidates returns the live instances that do not end, in order.
-func (s *Sharer) Candidates() []string {
+// Hub returns the address of the hub that this instance reports to, or "" if
+// it is one itself, knows none, or has not heard it of late.
+func (s *Sharer) Hub() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := []string{s.self.Name}
-	for name, peer := range s.peers {
-		if !s.silent(peer) && !peer.leaving {
-			names = append(names, name)
-		}
+	hub := s.peers[s.self.hub]
+	if hub == nil || !s.now().Before(hub.silentBy.Add(hubSilent-silentAfter)) {
+		return ""
 	}
-	sort.Strings(names)
-	return names
+	return hub.Address
 }
 
 // Leader returns the instance that was last heard to hold the lease on orders.
@@ -154,8 +219,9 @@
 func (s *Sharer) Lead(lead bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lead = lead
+	s.self.flags &^= flagLead
 	if lead {
+		s.self.flags |= flagLead
 		s.leader = s.self.Name
 	}
 }
@@ -164,127 +230,46 @@
 func (s *Sharer) Keep(place *monitor.Monitor, key uint64, tokens int, ready bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.parts) < 2*mostParts {
-		s.parts = append(s.parts, part{Key: place.Key, Part: key, Tokens: tokens, Soon: !ready})
-	}
+	s.add(news{parts: []part{{Key: place.Key, Part: key, Tokens: tokens, Soon: !ready}}})
 }
 
 // Weights tells which version an endpoint has, or that it loads one for so
 // many milliseconds, at once.
 func (s *Sharer) Weights(place *monitor.Monitor, model string, version, loading int) {
-	s.mu.Lock()
-	s.news = append(s.news, weights{Key: place.Key, Model: model, Version: version, Loading: loading})
-	s.mu.Unlock()
-	s.tell(true)
+	s.urge(news{weights: []weights{{Key: place.Key, Model: model, Version: version, Loading: loading}}})
 }
 
 // Alarm tells of a request that crashed an endpoint, at once.
 func (s *Sharer) Alarm(one quarantiner.Case) {
-	s.mu.Lock()
-	s.cases = append(s.cases, one)
-	s.mu.Unlock()
-	s.tell(true)
+	s.urge(news{cases: []quarantiner.Case{one}})
 }
 
 // Emptied tells that a store has lost all parts, at once.
 func (s *Sharer) Emptied(store *monitor.Monitor) {
-	s.mu.Lock()
-	s.empty = append(s.empty, store.Key)
-	s.mu.Unlock()
-	s.tell(true)
+	s.urge(news{empty: []uint64{store.Key}})
 }
 
-// Leave tells that this instance is about to end, or that it ends now.
-func (s *Sharer) Leave(now bool) {
+// urge tells news at once.
+func (s *Sharer) urge(own news) {
 	s.mu.Lock()
-	s.self.leaving, s.gone = true, now
+	s.add(own)
 	s.mu.Unlock()
-	s.tell(true)
+	s.tell(false)
 }
 
-// Run tells the peers until ctx ends.
-func (s *Sharer) Run(ctx context.Context) {
-	for round := 0; pacer.Wait(ctx, s.interval()); round++ {
-		s.tell(round%restEvery == 0)
-	}
-}
-
-func (s *Sharer) interval() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(tick, time.Duration(len(s.peers))*tickPeer)
+// add queues news of this instance.
+func (s *Sharer) add(own news) {
+	s.toHubs.add(own)
+	s.toGroup.add(own)
 }
 
-// tell sends a note to all peers; one without news only if rest says so.
-func (s *Sharer) tell(rest bool) {
+// Leave tells that this instance is about to end, or that it ends now.
+func (s *Sharer) Leave(now bool) {
 	s.mu.Lock()
-	next := s.note(rest)
-	addresses := make([]string, 0, len(s.peers))
-	for _, peer := range s.peers {
-		if s.now().Before(peer.silentBy.Add(forgetAfter)) || peer.silentBy.IsZero() {
-			addresses = append(addresses, peer.Address)
-		}
+	s.self.flags |= flagLeaving
+	if now {
+		s.self.flags |= flagGone
 	}
 	s.mu.Unlock()
-	if !rest && !next.news() {
-		return
-	}
-	data, err := json.Marshal(next)
-	if err != nil {
-		s.log.Error("note not encoded", zap.String("error", err.Error()))
-		return
-	}
-	for _, address := range addresses {
-		target, err := net.ResolveUDPAddr("udp4", address)
-		if err == nil {
-			_, err = s.conn.WriteTo(data, target)
-		}
-		if err != nil {
-			s.count.Add("notes", "unsent") // a cut link or a peer that is gone; the next note tells the same
-		}
-	}
-	s.count.AddMany("notes", "sent", len(addresses))
-}
-
-// note returns the next note, with the loads that changed, or all at rest.
-func (s *Sharer) note(rest bool) note {
-	s.seq++
-	next := note{Name: s.self.Name, Zone: s.self.DataCentre, Addr: s.self.Address, Boot: s.self.boot, Seq: s.seq, Full: rest, Lead: s.lead, Leaving: s.self.leaving, Gone: s.gone}
-	if table := s.beliefs.Table(); table != nil {
-		next.Table = table.Version
-	}
-	fleet := s.beliefs.Fleet()
-	all := append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...)
-	for _, one := range all {
-		own := one.Own()
-		if own == s.told[one.Key] && !(rest && own != monitor.Load{}) {
-			continue
-		}
-		s.told[one.Key] = own
-		next.Loads = append(next.Loads, load{Key: one.Key, Requests: own.Requests, Unread: own.Unread, Memory: own.Memory})
-	}
-	taken := min(len(s.parts), mostParts)
-	next.Parts, s.parts = s.parts[:taken], s.parts[taken:]
-	next.Weights, s.news = s.news, nil
-	if rest {
-		next.Weights = append(next.Weights, s.recent()...)
-	}
-	next.Cases, s.cases = s.cases, nil
-	next.Empty, s.empty = s.empty, nil
-	return next
-}
-
-// recent returns the versions of weights that became known of late, since a
-// note that told of them may have been lost.
-func (s *Sharer) recent() []weights {
-	var list []weights
-	after := s.now().Add(-recentFor)
-	for model := range s.beliefs.Weights() {
-		for _, one := range s.beliefs.Fleet().All() {
-			if version := one.WeightsAfter(model, after); version > 0 {
-				list = append(list, weights{Key: one.Key, Model: model, Version: version})
-			}
-		}
-	}
-	return list
+	s.tell(true)
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -1,11 +1,16 @@
 package sharer_test
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -25,22 +30,44 @@
 	ward    *quarantiner.Ward
 	address string
 	conn    net.PacketConn
+	tables  tables
+	count   *counter.Counter
+	stop    func()
 }
 
+// tables are tables that count who says that they are behind.
+type tables struct {
+	version uint64
+	behind  atomic.Int64
+}
+
+func (t *tables) Versions() []uint64 { return []uint64{t.version} }
+func (t *tables) Behind(string)      { t.behind.Add(1) }
+
 func newOne(t *testing.T, name string, version int64) *one {
+	t.Helper()
+	return newOneIn(t, name, "", version)
+}
+
+func newOneIn(t *testing.T, name, dataCentre string, version int64) *one {
 	t.Helper()
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	o := &one{beliefs: registrar.New(), ward: quarantiner.New(), address: conn.LocalAddr().String(), conn: conn}
+	o := &one{beliefs: registrar.New(), ward: quarantiner.New(), address: conn.LocalAddr().String(), conn: conn, count: counter.New(metrics.NewRegistry())}
 	engine := &router.Engine{Capacity: 1000}
 	o.beliefs.PutTable(router.New(version, nil, []router.Pool{{Name: "p", Engine: engine}}, nil, nil, router.Limits{}))
 	o.beliefs.PutEndpoints([]monitor.Entry{{Name: "e", Address: "10.0.0.1:80", Pool: "p", Weights: map[string]int{"m": 1}}}, nil, time.Now(), time.Now())
 	o.beliefs.PutWeights("m", 1, time.Now())
-	self := sharer.Peer{Name: name, Address: o.address}
-	o.share = sharer.New(self, 1, conn, o.beliefs, o.ward, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now, func() {})
+	self := sharer.Peer{Name: name, DataCentre: dataCentre, Address: o.address}
+	o.share = sharer.New(self, 1, conn, o.beliefs, o.ward, &o.tables, o.count, zap.NewNop(), time.Now)
 	go func() { _ = o.share.Listen() }()
-	go o.share.Run(t.Context())
-	t.Cleanup(func() { _ = conn.Close() })
+	ctx, cancel := context.WithCancel(t.Context())
+	go o.share.Run(ctx)
+	o.stop = func() {
+		cancel()
+		_ = conn.Close()
+	}
+	t.Cleanup(o.stop)
 	return o
 }
 
@@ -63,7 +90,7 @@
 	a.share.Meet([]sharer.Peer{{Name: "b", Address: b.address}, {Name: "gone", Address: "127.0.0.1:9"}})
 	eventually(t, "a is live for b", func() bool { return len(b.share.Live()) == 2 })
 	eventually(t, "b is live for a", func() bool { return len(a.share.Live()) == 2 })
-	load := monitor.Load{Requests: 2, Unread: 30, Memory: 40}
+	load := monitor.Load{Requests: 2, Unread: 640, Memory: 1280} // tokens are told in units of 64
 	a.engine().Begin(load, time.Now())
 	eventually(t, "b knows the load", func() bool { return b.engine().View("m", time.Now()).Load == load })
 	a.share.Keep(a.engine(), 77, 100, true)
@@ -85,14 +112,137 @@
 	eventually(t, "a is gone", func() bool { return len(b.share.Live()) == 1 })
 }
 
+// raw returns a datagram with the fields of a note in their order.
+func raw(t *testing.T, fields ...any) []byte {
+	t.Helper()
+	data, err := msgpack.Marshal(fields)
+	assert.NilError(t, err)
+	return data
+}
+
 // Datagrams that can't be read change nothing.
 func TestMalformedNotes(t *testing.T) {
 	a := newOne(t, "a", 1)
-	for _, text := range []string{"", "{", `{"n":"x"}`, `{"n":"x","a":"y"}`, `{"n":"x","a":"10.0.0.1:1","l":[{"k":1,"r":-1}]}`} {
-		_, err := a.conn.WriteTo([]byte(text), a.conn.LocalAddr())
+	good := func(name, address string, loads, parts []any) []byte {
+		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{})
+	}
+	for _, data := range [][]byte{
+		nil, []byte("{"), raw(t, "x"), good("", "10.0.0.1:1", nil, nil), good("x", "y", nil, nil),
+		good("x", "10.0.0.1:1", []any{[]any{1, -1, 0, 0}}, nil), good("x", "10.0.0.1:1", []any{[]any{1, 1, 1 << 50, 0}}, nil),
+		good("x", "10.0.0.1:1", nil, []any{[]any{1, 2, -3, false}}),
+	} {
+		_, err := a.conn.WriteTo(data, a.conn.LocalAddr())
 		assert.NilError(t, err)
 	}
-	_, err := a.conn.WriteTo([]byte(`{"n":"x","a":"10.0.0.1:1","b":1,"s":1}`), a.conn.LocalAddr())
+	_, err := a.conn.WriteTo(good("z", "10.0.0.1:1", nil, nil), a.conn.LocalAddr())
 	assert.NilError(t, err)
 	eventually(t, "the good one counts", func() bool { return len(a.share.Live()) == 2 })
 }
+
+// FuzzNote has no datagram bring an instance down.
+func FuzzNote(f *testing.F) {
+	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { sharer.Check(data) })
+}
+
+// In two data centres of eight instances a few speak for the others: all know
+// the load of all, each once, what is told reaches all, and what is sent grows
+// with the number of instances, not with its square.
+func TestHubs(t *testing.T) {
+	var all []*one
+	var peers []sharer.Peer
+	for i := range 16 {
+		o := newOneIn(t, fmt.Sprintf("i%02d", i), fmt.Sprintf("d%d", i%2), 1)
+		all = append(all, o)
+		peers = append(peers, sharer.Peer{Name: fmt.Sprintf("i%02d", i), DataCentre: fmt.Sprintf("d%d", i%2), Address: o.address})
+	}
+	for _, o := range all {
+		o.share.Meet(peers)
+	}
+	hubs := func() int {
+		count := 0
+		for _, o := range all {
+			if o.share.Hub() == "" {
+				count++
+			}
+		}
+		return count
+	}
+	eventually(t, "three hubs each", func() bool { return hubs() == 6 })
+	eventually(t, "all count all", func() bool { return every(all, func(o *one) bool { return o.share.Size() == 16 }) })
+	for _, o := range all {
+		o.engine().Begin(monitor.Load{Requests: 1, Unread: 128, Memory: 64}, time.Now())
+	}
+	want := monitor.Load{Requests: 16, Unread: 16 * 128, Memory: 16 * 64}
+	eventually(t, "all know the load of all", func() bool {
+		return every(all, func(o *one) bool { return o.engine().View("m", time.Now()).Load == want })
+	})
+	all[15].share.Keep(all[15].engine(), 77, 100, true)
+	all[14].share.Alarm(all[14].ward.Lost(9, quarantiner.Loss{Endpoint: "e"}, time.Now()))
+	eventually(t, "all know the part and the crash", func() bool {
+		return every(all, func(o *one) bool {
+			_, ready := o.engine().Keeps(77)
+			_, known := o.ward.Find(9, time.Now())
+			return ready && known
+		})
+	})
+	before := sent(all)
+	time.Sleep(time.Second)
+	perSecond := sent(all) - before
+	assert.Assert(t, perSecond < 16*15*6, "%d notes a second; each to each would be %d", perSecond, 16*15*10)
+}
+
+// Another instance speaks when hubs are gone.
+func TestHubsAreReplaced(t *testing.T) {
+	a, b := newOne(t, "a", 1), newOne(t, "b", 1)
+	c, d, e := newOne(t, "c", 1), newOne(t, "d", 1), newOne(t, "e", 1)
+	all := []*one{a, b, c, d, e}
+	var peers []sharer.Peer
+	for i, o := range all {
+		peers = append(peers, sharer.Peer{Name: string(rune('a' + i)), Address: o.address})
+	}
+	for _, o := range all {
+		o.share.Meet(peers)
+	}
+	reporters := func() (count int) {
+		for _, o := range all {
+			if o.share.Hub() != "" {
+				count++
+			}
+		}
+		return count
+	}
+	eventually(t, "two report", func() bool { return reporters() == 2 })
+	hubs := all[:0:0]
+	for _, o := range all {
+		if o.share.Hub() == "" {
+			hubs = append(hubs, o)
+		}
+	}
+	for _, o := range hubs {
+		o.stop()
+	}
+	rest := all[:0:0]
+	for _, o := range all {
+		if !slices.Contains(hubs, o) {
+			rest = append(rest, o)
+		}
+	}
+	load := monitor.Load{Requests: 1, Unread: 64, Memory: 64}
+	rest[0].engine().Begin(load, time.Now())
+	eventually(t, "the others speak for themselves", func() bool { return rest[1].engine().View("m", time.Now()).Load == load })
+}
+
+func every(all []*one, holds func(*one) bool) bool {
+	return !slices.ContainsFunc(all, func(o *one) bool { return !holds(o) })
+}
+
+func sent(all []*one) int64 {
+	total := int64(0)
+	for _, o := range all {
+		total += o.count.Value("notes", "sent")
+	}
+	return total
+}
--- /dev/null
+++ b/sharer/tell.go
@@ -0,0 +1,202 @@
+package sharer
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/elector"
+	"wisteriadrum/monitor"
+	"wisteriadrum/pacer"
+)
+
+// letter is a note with the addresses to which it goes.
+type letter struct {
+	note      *note
+	addresses []string
+}
+
+// Run tells the peers until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	pause, restBy := tick, s.now()
+	for pacer.Wait(ctx, pause) {
+		rest := !s.now().Before(restBy)
+		if rest {
+			restBy = s.now().Add(restEvery)
+		}
+		s.choose()
+		largest := s.tell(rest)
+		pause = max(tick, time.Duration(largest)*time.Second/noteRate)
+	}
+}
+
+// choose decides whether this instance is a hub, and to which it reports.
+func (s *Sharer) choose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	others, before, nearest, best := 0, 0, "", 0.0
+	for name, peer := range s.peers {
+		if s.silent(peer) || peer.DataCentre != s.self.DataCentre || !peer.flags.has(flagHub) || peer.flags.has(flagLeaving) {
+			continue
+		}
+		others++
+		if elector.Before(peer.Rate, name, s.self.Rate, s.self.Name) {
+			before++
+		}
+		if score := elector.Score(s.self.Name, name, peer.Rate); score > best {
+			nearest, best = name, score
+		}
+	}
+	hub := s.elect.Decide(others, before, s.now()) && !s.self.flags.has(flagLeaving)
+	hub = hub || s.self.flags.has(flagLead) // all who may take the lease must know who holds it
+	if hub {
+		nearest = ""
+	}
+	if hub == s.self.flags.has(flagHub) && nearest == s.self.hub {
+		return
+	}
+	s.self.flags &^= flagHub
+	if hub {
+		s.self.flags |= flagHub
+	}
+	s.self.hub = nearest
+	// What others told is told anew under the new order, and must not count twice.
+	for _, one := range s.places() {
+		one.Forget()
+	}
+	s.log.Info("role among the instances changed", zap.Bool("hub", hub), zap.String("reports", nearest), zap.Int("hubs", others))
+}
+
+// places returns the endpoints and stores.
+func (s *Sharer) places() []*monitor.Monitor {
+	fleet := s.beliefs.Fleet()
+	return append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...)
+}
+
+// tell sends notes, ones without news only if rest says so, and returns the
+// size in bytes of the largest.
+func (s *Sharer) tell(rest bool) int {
+	s.mu.Lock()
+	letters := s.letters(rest)
+	s.mu.Unlock()
+	largest := 0
+	for _, l := range letters {
+		largest = max(largest, s.send(l))
+	}
+	return largest
+}
+
+func (s *Sharer) send(l letter) int {
+	data, err := l.note.encode()
+	if err != nil {
+		s.log.Error("note not encoded", zap.String("error", err.Error()))
+		return 0
+	}
+	for _, address := range l.addresses {
+		target, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, err = s.conn.WriteTo(data, target)
+		}
+		if err != nil {
+			s.count.Add("notes", "unsent") // a cut link or a peer that is gone; the next note tells the same
+		}
+	}
+	s.count.AddMany("notes", "sent", len(l.addresses))
+	return len(data)
+}
+
+// letters returns the next notes with the peers to which they go.
+func (s *Sharer) letters(rest bool) []letter {
+	s.seq++
+	toHubs, toGroup := s.toHubs.take(), s.toGroup.take()
+	if rest {
+		again := news{weights: s.recent()}
+		toHubs.add(again)
+		toGroup.add(again)
+	}
+	works := s.works()
+	var letters []letter
+	post := func(next *note, addresses ...string) {
+		if rest || len(next.Loads) > 0 || next.news() {
+			letters = append(letters, letter{next, addresses})
+		}
+	}
+	if hub := s.peers[s.self.hub]; hub != nil {
+		post(s.note(works.of(s.self.Name), toHubs), hub.Address)
+		return letters
+	}
+	group := []string{s.self.Name}
+	for name, peer := range s.peers {
+		if s.reports(peer) {
+			group = append(group, name)
+		}
+	}
+	post(s.note(works.of(group...), toHubs), s.farther(rest)...)
+	local := len(works) > wideMost && !rest
+	if local {
+		works = works.in(s.self.DataCentre)
+	}
+	for _, name := range group[1:] {
+		next := s.note(works.except(name), toGroup)
+		if local {
+			next.Flags |= flagLocal
+		}
+		post(next, s.peers[name].Address)
+	}
+	return letters
+}
+
+// farther returns the addresses of the other hubs and, at rest, of those who
+// may not have heard of any: peers that are not live, in this data centre or
+// in one from which no hub is heard.
+func (s *Sharer) farther(rest bool) []string {
+	heard := map[string]bool{}
+	for _, peer := range s.peers {
+		if !s.silent(peer) && peer.flags.has(flagHub) {
+			heard[peer.DataCentre] = true
+		}
+	}
+	delete(heard, s.self.DataCentre)
+	var addresses []string
+	for _, peer := range s.peers {
+		switch {
+		case !s.silent(peer) && !s.reports(peer):
+			addresses = append(addresses, peer.Address)
+		case s.silent(peer) && rest && !heard[peer.DataCentre] && (peer.silentBy.IsZero() || s.now().Before(peer.silentBy.Add(forgetAfter))):
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
+
+// note returns the next note with loads and news.
+func (s *Sharer) note(loads []load, told news) *note {
+	next := &note{
+		Name: s.self.Name, Zone: s.self.DataCentre, Addr: s.self.Address, Rate: s.self.Rate, Boot: s.self.boot, Seq: s.seq, Tables: s.tables.Versions(),
+		Flags: s.self.flags, Hub: s.self.hub, Group: s.group(), All: s.size(),
+		Loads: loads, Parts: told.parts, Weights: told.weights, Empty: told.empty, Cases: told.cases,
+	}
+	if table := s.beliefs.Table(); table != nil {
+		next.Table = table.Version
+	}
+	return next
+}
+
+// recent returns the versions of weights that became known of late, since a
+// note that told of them may have been lost.
+func (s *Sharer) recent() []weights {
+	var list []weights
+	after := s.now().Add(-recentFor)
+	for model := range s.beliefs.Weights() {
+		for _, one := range s.beliefs.Fleet().All() {
+			if version := one.WeightsAfter(model, after); version > 0 {
+				list = append(list, weights{Key: one.Key, Model: model, Version: version})
+			}
+		}
+	}
+	return list
+}
