Never leave a stream because its engine is silent

Ruled out: retries without bound (they count against the shared budget). Change: streams are not left for silence; a dead engine shows by the probes of the connection. A request that may be repeated is left only after a retry was taken from the budget.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -49,9 +49,8 @@
 	// progress is when something came for this request last, in nanoseconds
 	// since sentAt; abandoned is set when too long nothing did.
 	progress atomic.Int64
-	// patience is the silence after which the request is tried elsewhere, in
-	// nanoseconds.
-	patience  atomic.Int64
+	// patience is the silence after which the request is tried elsewhere.
+	patience  time.Duration
 	abandoned atomic.Bool
 	// closeBy is when the endpoint closes the connection, zero if unknown.
 	closeBy time.Time
@@ -266,6 +265,7 @@
 	t.place.Failed(now)
 	var timeout net.Error
 	if t.abandoned.Load() {
+		t.paid = true
 		return refuser.New(refuser.Silent, judge.MayHaveRun, "endpoint %s sent nothing for %d ms", t.entry.Name, t.place.Silent(now).Milliseconds())
 	}
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -122,6 +122,8 @@
 	tried   []*monitor.Monitor
 	// sends counts all sends, runs those after which it may have run.
 	sends, runs int
+	// paid reports that the next send was taken from the budget already.
+	paid bool
 	// last is the last event that was passed on.
 	last   string
 	choice placer.Choice
@@ -199,10 +201,11 @@
 	if c.sends >= mostSends {
 		return false
 	}
-	if c.sends > 0 && !r.budget(c.request.Pool.Name).Spend() {
+	if c.sends > 0 && !c.paid && !r.budget(c.request.Pool.Name).Spend() {
 		r.ports.Count.Add("retry", "exhausted")
 		return false
 	}
+	c.paid = false
 	c.tried = append(c.tried, c.place)
 	return true
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -89,7 +89,6 @@
 	own.Requests, own.Memory, own.Unread = 0, 0, t.unread
 	t.place.End(own)
 	t.unread = 0
-	t.patience.Store(int64(streamSilence))
 	now := r.ports.Now()
 	t.place.Answered(float64(now.Sub(t.sentAt).Milliseconds()), t.choice.Neutral, now)
 	r.keeps(t, true)
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -5,27 +5,28 @@
 	"time"
 
 	"wisteriadrum/pacer"
-	"wisteriadrum/router"
 )
 
 const (
 	// watchEvery is the interval at which silent endpoints are looked for.
 	watchEvery = 50 * time.Millisecond
-	// streamSilence is the silence of an endpoint after which a stream goes on
-	// elsewhere: over the time in which one piece of a long prompt is read.
-	streamSilence = 700 * time.Millisecond
 	// targetShare is the part of a route's target after which a request that
 	// may run twice is tried elsewhere, if its endpoint is silent.
 	targetShare = 0.6
 )
 
-// Watch leaves endpoints that went silent, for requests that may go on
+// Watch leaves endpoints that went silent, for requests that may run again
 // elsewhere, until ctx ends. It answers the load of endpoints that vanish
-// without a word: connections to them hang.
+// without a word: connections to them hang. Streams are not left: engines are
+// silent while they read long prompts for others, and a stream that was left
+// is cut if no other engine takes it.
 func (r *Relayer) Watch(ctx context.Context) {
 	for pacer.Wait(ctx, watchEvery) {
 		now := r.ports.Now()
 		for _, t := range r.silent(now) {
+			if !r.budget(t.request.Pool.Name).Spend() {
+				continue // it could not be sent again
+			}
 			t.abandoned.Store(true)
 			_ = t.conn.SetDeadline(time.Unix(1, 0)) // wakes the reader, which reports what came of it
 		}
@@ -38,7 +39,10 @@
 	defer r.mu.Unlock()
 	var silent []*try
 	for t := range r.live {
-		limit := time.Duration(t.patience.Load())
+		limit := t.patience
+		if t.abandoned.Load() {
+			continue
+		}
 		if t.place.Silent(now) > limit && now.Sub(t.sentAt)-time.Duration(t.progress.Load()) > limit {
 			silent = append(silent, t)
 		}
@@ -48,11 +52,11 @@
 
 // watch has t watched and returns the function that ends that.
 func (r *Relayer) watch(t *try) func() {
-	// Silence ends no answer that could not go on elsewhere.
-	if !t.request.Repeats() || t.runs+1 >= t.request.Route.Attempts || t.sends+1 >= mostSends {
+	// Silence ends no answer that could not come from elsewhere.
+	if t.request.Route.Stream || !t.request.Repeats() || t.runs+1 >= t.request.Route.Attempts || t.sends+1 >= mostSends {
 		return func() {}
 	}
-	t.patience.Store(int64(t.firstPatience()))
+	t.patience = t.firstPatience()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.live[t] = struct{}{}
@@ -74,9 +78,6 @@
 // request is tried elsewhere.
 func (t *try) firstPatience() time.Duration {
 	predicted := time.Duration(t.choice.Millis) * time.Millisecond
-	if t.request.Route.Repeat != router.Repeatable {
-		return streamSilence + 2*predicted
-	}
 	target := time.Duration(t.request.Route.Target) * time.Millisecond
 	return max(2*predicted, time.Duration(targetShare*float64(target)))
 }
