Read the store once a data centre; tell urgently only what is urgent

Cause: each of three hubs read the tables for itself, and each piece of urgent news had every hub send its whole load to all others. Ruled out: fewer hubs (the loss of two must not leave the rest alone). Change: in a fleet of over 14 instances the first hub of a data centre reads the store and the others have the tables from it; urgent notes go only to whom they tell something; changes are gathered for 100 ms.

--- a/conductor/meet.go
+++ b/conductor/meet.go
@@ -31,7 +31,7 @@
 	pause := pacer.Jitter(firstMeet)
 	for pacer.Wait(ctx, pause) {
 		pause = meetRetry
-		if written && c.share.Hub() != "" {
+		if written && c.share.Reports() {
 			pause = meetEvery // the hub knows the others
 			continue
 		}
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -23,7 +23,7 @@
 	retryMost  = 800 * time.Millisecond
 	// gather is the wait after changes, so that changes that come together
 	// cost one call.
-	gather = 30 * time.Millisecond
+	gather = 100 * time.Millisecond
 	// readTimeout bounds the reading of a whole table.
 	readTimeout = 3 * time.Second
 	// restEvery is the interval at which a feeder that is supplied by another
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -1,6 +1,6 @@
 // Package informer lets instances have the followed tables from one another:
-// from their hub, so that the store answers only the hubs, and from any peer
-// that knows more, so that an instance serves after a start during an outage
+// from a source, so that the store answers only one of a data centre, and from
+// any peer that knows more, so that an instance serves after a start during an outage
 // and goes on with what is newest when it alone is cut off.
 package informer
 
@@ -29,18 +29,18 @@
 	behindFor = 400 * time.Millisecond
 	// callTimeout bounds a call to a peer.
 	callTimeout = time.Second
-	// waitMost is how long a hub keeps a question until it knows more: well
+	// waitMost is how long a source keeps a question until it knows more: well
 	// within the history that the store keeps.
 	waitMost = 4 * time.Second
 	// supplySlack is added to the wait for the answer's way; after it the
 	// instance follows the store by itself.
 	supplySlack = 500 * time.Millisecond
-	// hubCheck is the interval at which one that waits for its hub looks
-	// whether it still is its hub.
-	hubCheck = 200 * time.Millisecond
-	// hubPause is how long a hub that does not answer is left alone.
-	hubPause = 2 * time.Second
-	service  = "Tables"
+	// sourceCheck is the interval at which one that waits for its source
+	// looks whether it still is.
+	sourceCheck = 200 * time.Millisecond
+	// sourcePause is how long a source that does not answer is left alone.
+	sourcePause = 2 * time.Second
+	service     = "Tables"
 )
 
 // Informer asks and answers other instances for tables.
@@ -75,11 +75,11 @@
 	}
 }
 
-// Run has the tables from the hub at the address that hub returns, and asks
-// one of the peers at addresses while the store does not answer, until ctx
+// Run has the tables from the instance at the address that source returns, and
+// asks one of the peers at addresses while the store does not answer, until ctx
 // ends.
-func (i *Informer) Run(ctx context.Context, hub func() string, addresses func() []string) {
-	go i.follow(ctx, hub)
+func (i *Informer) Run(ctx context.Context, source func() string, addresses func() []string) {
+	go i.follow(ctx, source)
 	go i.catchUp(ctx)
 	for pacer.Wait(ctx, pacer.Jitter(askEvery)) {
 		if peers := addresses(); i.lost() && len(peers) > 0 {
@@ -125,12 +125,12 @@
 	return false
 }
 
-// follow has the tables from the hub while there is one that answers.
-func (i *Informer) follow(ctx context.Context, hub func() string) {
+// follow has the tables from the source while there is one that answers.
+func (i *Informer) follow(ctx context.Context, source func() string) {
 	var client *rpc.Client
 	var from string
 	for ctx.Err() == nil {
-		address := hub()
+		address := source()
 		if address != from && client != nil {
 			_ = client.Close() // nothing is lost with it
 			client = nil
@@ -138,7 +138,7 @@
 		from = address
 		if address == "" {
 			i.supply(time.Time{})
-			pacer.Wait(ctx, hubCheck)
+			pacer.Wait(ctx, sourceCheck)
 			continue
 		}
 		var err error
@@ -146,19 +146,19 @@
 			client, err = i.connect(address)
 		}
 		if err == nil {
-			err = i.await(client, func() bool { return hub() == address })
+			err = i.await(client, func() bool { return source() == address })
 		}
 		if err == nil {
 			continue
 		}
 		i.supply(time.Time{})
 		i.count.Add("tables", "unanswered")
-		i.log.Info("hub does not tell the tables; the store is followed", zap.String("peer", address), zap.String("error", err.Error()))
+		i.log.Info("source does not tell the tables; the store is followed", zap.String("peer", address), zap.String("error", err.Error()))
 		if client != nil {
 			_ = client.Close() // it failed
 			client = nil
 		}
-		pacer.Wait(ctx, hubPause)
+		pacer.Wait(ctx, sourcePause)
 	}
 }
 
@@ -170,10 +170,10 @@
 	return rpc.NewClient(conn), nil
 }
 
-// errLost is the answer of a hub that does not reach the store.
-var errLost = errors.New("the hub has lost the store")
+// errLost is the answer of a source that does not reach the store.
+var errLost = errors.New("the source has lost the store")
 
-// await waits for news from the hub and takes them in.
+// await waits for news from the source and takes them in.
 func (i *Informer) await(client *rpc.Client, valid func() bool) error {
 	i.supply(time.Now().Add(waitMost + supplySlack))
 	answer, err := i.call(client, waitMost, valid)
@@ -186,15 +186,15 @@
 	return errors.Join(err, i.take(answer, func(*feeder.Feeder) {}))
 }
 
-// supply tells the feeders that a hub brings the tables until by.
+// supply tells the feeders that a source brings the tables until by.
 func (i *Informer) supply(by time.Time) {
 	for _, feed := range i.feeders {
 		feed.Supply(by)
 	}
 }
 
-// errGone means that a hub is none any more or is silent.
-var errGone = errors.New("the hub is gone")
+// errGone means that a source is none any more or is silent.
+var errGone = errors.New("the source is gone")
 
 // call asks for what is newer, for which the peer may wait while it is valid.
 func (i *Informer) call(client *rpc.Client, wait time.Duration, valid func() bool) (Answer, error) {
@@ -204,7 +204,7 @@
 	}
 	var answer Answer
 	call := client.Go(service+".Newer", question, &answer, make(chan *rpc.Call, 1))
-	ticker := time.NewTicker(hubCheck)
+	ticker := time.NewTicker(sourceCheck)
 	defer ticker.Stop()
 	for begun := time.Now(); ; {
 		select {
--- a/sharer/hear.go
+++ b/sharer/hear.go
@@ -88,13 +88,13 @@
 	}
 }
 
-// behind reports whether the sender knows a newer version of a table. The
-// news of the own hub come by themselves.
+// behind reports whether the sender knows a newer version of a table. What the
+// source of the tables knows comes by itself.
 func (s *Sharer) behind(heard *note) bool {
 	s.mu.Lock()
-	hub := s.self.hub
+	source := s.source
 	s.mu.Unlock()
-	if heard.Name == hub || heard.Hub != "" {
+	if heard.Name == source || heard.Hub != "" {
 		return false
 	}
 	for i, version := range s.tables.Versions() {
@@ -120,7 +120,7 @@
 	}
 	s.mu.Unlock()
 	if told.urgent() {
-		s.tell(false)
+		s.tell(urgent)
 	}
 }
 
--- a/sharer/note.go
+++ b/sharer/note.go
@@ -137,9 +137,17 @@
 	return nil
 }
 
-// news reports whether the note tells what can't wait.
-func (n *note) news() bool {
-	return len(n.Parts)+len(n.Weights)+len(n.Cases)+len(n.Empty) > 0
+// worth reports whether the note is worth sending when such are due.
+func (n *note) worth(due due) bool {
+	pressing := len(n.Weights)+len(n.Cases)+len(n.Empty) > 0
+	switch due {
+	case urgent:
+		return pressing
+	case changed:
+		return pressing || len(n.Loads)+len(n.Parts) > 0
+	default:
+		return true
+	}
 }
 
 func (l load) load() monitor.Load {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -46,6 +46,9 @@
 	maxRead     = 64 << 10
 	// mostParts bounds the parts in a note, so that it is not cut up on its way.
 	mostParts = 40
+	// directMost is the number of instances up to which each hub reads the
+	// tables from the store, as calls to it are few then.
+	directMost = 14
 	// wideMost is the number of endpoints above which only notes at rest tell
 	// of those in other data centres.
 	wideMost = 100
@@ -88,10 +91,11 @@
 	elect *elector.Elector
 	seq   uint64
 	peers map[string]*Peer
+	// source is the instance from which this one has the tables.
+	source string
 	// toHubs is news for the hubs, toGroup for those who report to this one.
 	toHubs, toGroup news
 	leader          string
-	idle            bool
 }
 
 // New returns a sharer for the instance self, which talks over conn.
@@ -196,16 +200,24 @@
 	return addresses
 }
 
-// Hub returns the address of the hub that this instance reports to, or "" if
-// it is one itself, knows none, or has not heard it of late.
-func (s *Sharer) Hub() string {
+// Source returns the address of the instance from which this one has the
+// tables: the hub that it reports to, or for one of many hubs the first of its
+// data centre. It is "" for the first, and while the source was not heard of late.
+func (s *Sharer) Source() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hub := s.peers[s.self.hub]
-	if hub == nil || !s.now().Before(hub.silentBy.Add(hubSilent-silentAfter)) {
+	source := s.peers[s.source]
+	if source == nil || !s.now().Before(source.silentBy.Add(hubSilent-silentAfter)) {
 		return ""
 	}
-	return hub.Address
+	return source.Address
+}
+
+// Reports tells whether this instance reports to a hub.
+func (s *Sharer) Reports() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers[s.self.hub] != nil
 }
 
 // Leader returns the instance that was last heard to hold the lease on orders.
@@ -254,7 +266,7 @@
 	s.mu.Lock()
 	s.add(own)
 	s.mu.Unlock()
-	s.tell(false)
+	s.tell(urgent)
 }
 
 // add queues news of this instance.
@@ -271,5 +283,5 @@
 		s.self.flags |= flagGone
 	}
 	s.mu.Unlock()
-	s.tell(true)
+	s.tell(all)
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -164,13 +164,22 @@
 	hubs := func() int {
 		count := 0
 		for _, o := range all {
-			if o.share.Hub() == "" {
+			if !o.share.Reports() {
 				count++
 			}
 		}
 		return count
 	}
 	eventually(t, "three hubs each", func() bool { return hubs() == 6 })
+	eventually(t, "one each reads the tables itself", func() bool {
+		sources := 0
+		for _, o := range all {
+			if o.share.Source() == "" {
+				sources++
+			}
+		}
+		return sources == 2
+	})
 	eventually(t, "all count all", func() bool { return every(all, func(o *one) bool { return o.share.Size() == 16 }) })
 	for _, o := range all {
 		o.engine().Begin(monitor.Load{Requests: 1, Unread: 128, Memory: 64}, time.Now())
@@ -208,7 +217,7 @@
 	}
 	reporters := func() (count int) {
 		for _, o := range all {
-			if o.share.Hub() != "" {
+			if o.share.Reports() {
 				count++
 			}
 		}
@@ -217,7 +226,7 @@
 	eventually(t, "two report", func() bool { return reporters() == 2 })
 	hubs := all[:0:0]
 	for _, o := range all {
-		if o.share.Hub() == "" {
+		if !o.share.Reports() {
 			hubs = append(hubs, o)
 		}
 	}
--- a/sharer/tell.go
+++ b/sharer/tell.go
@@ -14,6 +14,18 @@
 	"wisteriadrum/pacer"
 )
 
+// due says which notes are sent.
+type due int
+
+const (
+	// urgent: those that tell what can't wait.
+	urgent due = iota
+	// changed: those that tell loads or news.
+	changed
+	// all: those that tell nothing too.
+	all
+)
+
 // letter is a note with the addresses to which it goes.
 type letter struct {
 	note      *note
@@ -24,12 +36,12 @@
 func (s *Sharer) Run(ctx context.Context) {
 	pause, restBy := tick, s.now()
 	for pacer.Wait(ctx, pause) {
-		rest := !s.now().Before(restBy)
-		if rest {
-			restBy = s.now().Add(restEvery)
+		next := changed
+		if !s.now().Before(restBy) {
+			next, restBy = all, s.now().Add(restEvery)
 		}
 		s.choose()
-		largest := s.tell(rest)
+		largest := s.tell(next)
 		pause = max(tick, time.Duration(largest)*time.Second/noteRate)
 	}
 }
@@ -39,11 +51,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	others, before, nearest, best := 0, 0, "", 0.0
+	first := s.self
 	for name, peer := range s.peers {
 		if s.silent(peer) || peer.DataCentre != s.self.DataCentre || !peer.flags.has(flagHub) || peer.flags.has(flagLeaving) {
 			continue
 		}
 		others++
+		if elector.Before(peer.Rate, name, first.Rate, first.Name) {
+			first = *peer
+		}
 		if elector.Before(peer.Rate, name, s.self.Rate, s.self.Name) {
 			before++
 		}
@@ -56,6 +72,10 @@
 	if hub {
 		nearest = ""
 	}
+	s.source = nearest
+	if hub && first.Name != s.self.Name && s.size() > directMost {
+		s.source = first.Name
+	}
 	if hub == s.self.flags.has(flagHub) && nearest == s.self.hub {
 		return
 	}
@@ -77,11 +97,11 @@
 	return append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...)
 }
 
-// tell sends notes, ones without news only if rest says so, and returns the
-// size in bytes of the largest.
-func (s *Sharer) tell(rest bool) int {
+// tell sends the notes that are due and returns the size in bytes of the
+// largest.
+func (s *Sharer) tell(due due) int {
 	s.mu.Lock()
-	letters := s.letters(rest)
+	letters := s.letters(due)
 	s.mu.Unlock()
 	largest := 0
 	for _, l := range letters {
@@ -110,9 +130,16 @@
 }
 
 // letters returns the next notes with the peers to which they go.
-func (s *Sharer) letters(rest bool) []letter {
+func (s *Sharer) letters(due due) []letter {
 	s.seq++
-	toHubs, toGroup := s.toHubs.take(), s.toGroup.take()
+	var toHubs, toGroup news
+	if due > urgent || s.toHubs.urgent() {
+		toHubs = s.toHubs.take()
+	}
+	if due > urgent || s.toGroup.urgent() {
+		toGroup = s.toGroup.take()
+	}
+	rest := due == all
 	if rest {
 		again := news{weights: s.recent()}
 		toHubs.add(again)
@@ -121,7 +148,7 @@
 	works := s.works()
 	var letters []letter
 	post := func(next *note, addresses ...string) {
-		if rest || len(next.Loads) > 0 || next.news() {
+		if next.worth(due) {
 			letters = append(letters, letter{next, addresses})
 		}
 	}
