Test how tables come from another instance

Cause: the informer had no test of its own. Change: changes and deletions come from the source and the store is not asked; a lost or gone source; a peer that knows more; what a feeder tells others. Conclusion: tests only.

--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -121,3 +122,29 @@
 	feed.Run(ctx)
 	assert.Equal(t, feed.Version(), uint64(5))
 }
+
+// Another instance is told what changed since the version that it knows, also
+// what was deleted, or all if that is too long ago.
+func TestSince(t *testing.T) {
+	feed := feeder.New(&script{}, "table", func([]feeder.Row, bool) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
+	whole := page(5, "a", "b")
+	whole.Whole = true
+	assert.Assert(t, feed.Offer(whole))
+	assert.Assert(t, feed.Offer(feeder.Page{Version: 9, Rows: []feeder.Row{{Key: "a", Deleted: true, Version: 7}, {Key: "c", Version: 8}}}))
+	assert.Equal(t, feed.Content(), uint64(8))
+	for version, want := range map[uint64][]string{0: {"b", "c"}, 4: {"b", "c"}, 5: {"-a", "c"}, 7: {"c"}, 8: nil} {
+		page := feed.Since(version)
+		var got []string
+		for _, row := range page.Rows {
+			if row.Deleted {
+				got = append(got, "-"+row.Key)
+			} else {
+				got = append(got, row.Key)
+			}
+		}
+		slices.Sort(got)
+		assert.DeepEqual(t, got, want)
+		assert.Equal(t, page.Whole, version < 5)
+		assert.Equal(t, page.Version, uint64(9))
+	}
+}
--- /dev/null
+++ b/informer/informer_test.go
@@ -0,0 +1,237 @@
+package informer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/feeder"
+	"wisteriadrum/informer"
+)
+
+// store is a store of one table that can be changed, lost, and counts calls.
+type store struct {
+	mu      sync.Mutex
+	rows    []feeder.Row
+	version uint64
+	changed chan struct{}
+	lost    bool
+	calls   int
+}
+
+func newStore() *store { return &store{version: 1, changed: make(chan struct{})} }
+
+func (s *store) put(row feeder.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	row.Version = s.version
+	s.rows = append(s.rows, row)
+	s.wake()
+}
+
+func (s *store) lose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = true
+	s.wake()
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+var errDown = errors.New("down")
+
+func (s *store) since(after uint64) (feeder.Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return feeder.Page{}, nil, errDown
+	}
+	page := feeder.Page{Version: s.version}
+	for _, row := range s.rows {
+		if row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, s.changed, nil
+}
+
+func (s *store) Read(context.Context, string) (feeder.Page, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	page, _, err := s.since(0)
+	return page, err
+}
+
+func (s *store) Watch(ctx context.Context, _ string, after uint64) (feeder.Page, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for {
+		page, changed, err := s.since(after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return feeder.Page{}, ctx.Err()
+		case <-time.After(200 * time.Millisecond):
+			return page, nil
+		}
+	}
+}
+
+// instance follows the table and tells others.
+type instance struct {
+	store   *store
+	inform  *informer.Informer
+	feed    *feeder.Feeder
+	address string
+
+	mu     sync.Mutex
+	rows   map[string]string
+	source string
+}
+
+func newInstance(t *testing.T, of *store) *instance {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	i := &instance{store: of, address: listener.Addr().String(), rows: map[string]string{}}
+	count := counter.New(metrics.NewRegistry())
+	i.feed = feeder.New(of, "table", i.apply, count, zap.NewNop())
+	dial := func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+	i.inform = informer.New([]*feeder.Feeder{i.feed}, dial, count, zap.NewNop())
+	go func() { _ = i.inform.Serve(listener) }()
+	go i.feed.Run(t.Context())
+	go i.inform.Run(t.Context(), i.from, func() []string { return nil })
+	t.Cleanup(func() { _ = listener.Close() })
+	return i
+}
+
+func (i *instance) apply(rows []feeder.Row, whole bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if whole {
+		clear(i.rows)
+	}
+	for _, row := range rows {
+		i.rows[row.Key] = string(row.Value)
+		if row.Deleted {
+			delete(i.rows, row.Key)
+		}
+	}
+}
+
+func (i *instance) from() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.source
+}
+
+func (i *instance) follow(address string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.source = address
+}
+
+func (i *instance) knows(want map[string]string) func() bool {
+	return func() bool {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if len(want) != len(i.rows) {
+			return false
+		}
+		for key, value := range want {
+			if i.rows[key] != value {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func row(key, value string) feeder.Row { return feeder.Row{Key: key, Value: []byte(value)} }
+
+// Changes come from the source, with what was deleted, and the store is not
+// asked meanwhile; when the source loses the store, it is.
+func TestTablesComeFromTheSource(t *testing.T) {
+	shared, own := newStore(), newStore()
+	shared.put(row("a", "1"))
+	own.put(row("a", "1"))
+	source, follower := newInstance(t, shared), newInstance(t, own)
+	eventually(t, "both have read the store", func() bool {
+		return source.knows(map[string]string{"a": "1"})() && follower.knows(map[string]string{"a": "1"})()
+	})
+	follower.follow(source.address)
+	shared.put(row("b", "2"))
+	shared.put(feeder.Row{Key: "a", Deleted: true})
+	eventually(t, "the changes have come", follower.knows(map[string]string{"b": "2"}))
+	time.Sleep(400 * time.Millisecond) // for the watch under way to end
+	before := own.asked()
+	shared.put(row("c", "3"))
+	eventually(t, "more changes have come", follower.knows(map[string]string{"b": "2", "c": "3"}))
+	time.Sleep(time.Second)
+	assert.Equal(t, own.asked(), before, "the store was asked")
+
+	for range 4 {
+		own.put(row("d", "4"))
+	}
+	shared.lose()
+	eventually(t, "the store is followed again", follower.knows(map[string]string{"b": "2", "c": "3", "d": "4"}))
+}
+
+// A follower whose source is gone follows the store.
+func TestSourceIsGone(t *testing.T) {
+	shared := newStore()
+	shared.put(row("a", "1"))
+	source, follower := newInstance(t, shared), newInstance(t, shared)
+	eventually(t, "the store is read", follower.knows(map[string]string{"a": "1"}))
+	follower.follow(source.address)
+	time.Sleep(500 * time.Millisecond)
+	follower.follow("")
+	shared.put(row("b", "2"))
+	eventually(t, "the change has come", follower.knows(map[string]string{"a": "1", "b": "2"}))
+}
+
+// An instance that alone has lost the store asks the peer that knows more.
+func TestPeersKnowMore(t *testing.T) {
+	reached, lost := newStore(), newStore()
+	reached.put(row("a", "1"))
+	lost.lose()
+	one, other := newInstance(t, reached), newInstance(t, lost)
+	eventually(t, "one has read the store", one.knows(map[string]string{"a": "1"}))
+	other.inform.Behind(one.address)
+	eventually(t, "the other has asked", other.knows(map[string]string{"a": "1"}))
+	assert.DeepEqual(t, one.inform.Versions(), other.inform.Versions())
+}
