--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -78,3 +79,72 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, decoded.Load(), answered)
 }
+
+// lateConn is a caller whose request arrives in the very moment in which its
+// idle connection is closed.
+type lateConn struct {
+	net.Conn
+	idle, request, closed chan struct{}
+	once                  sync.Once
+	reads                 atomic.Int64
+}
+
+func (c *lateConn) Read(data []byte) (int, error) {
+	if c.reads.Add(1) > 1 {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	close(c.idle)
+	<-c.request
+	return copy(data, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil
+}
+
+func (c *lateConn) Close() error {
+	c.once.Do(func() {
+		close(c.request)
+		time.Sleep(20 * time.Millisecond) // for the session to take the request, if it would
+		close(c.closed)
+	})
+	return nil
+}
+
+func (c *lateConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *lateConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *lateConn) SetDeadline(time.Time) error      { return nil }
+func (c *lateConn) Write(data []byte) (int, error)   { return len(data), nil }
+
+// one is a listener that accepts one connection.
+type one struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (o one) Accept() (net.Conn, error) {
+	conn, ok := <-o.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// A request that arrives while its idle connection is being closed is not
+// taken.
+func TestIdleCloseCrossesRequest(t *testing.T) {
+	count, beliefs := counter.New(metrics.NewRegistry()), registrar.New()
+	var decoded atomic.Int64
+	speak := mute{decoded: &decoded}
+	relay := relayer.New(relayer.Ports{
+		Speaker: speak, Beliefs: beliefs, Pool: pooler.New(nil, time.Now), Ward: quarantiner.New(), Rule: budgeter.Default(),
+		Count: count, Log: zap.NewNop(), Now: time.Now,
+	})
+	accept := acceptor.New(speak, beliefs, relay, count, zap.NewNop(), time.Now)
+	conn := &lateConn{idle: make(chan struct{}), request: make(chan struct{}), closed: make(chan struct{})}
+	listener := one{conns: make(chan net.Conn, 1)}
+	listener.conns <- conn
+	go func() { _ = accept.Serve(listener) }()
+	<-conn.idle
+	assert.Equal(t, accept.CloseIdle(), 0)
+	<-conn.closed
+	assert.Equal(t, decoded.Load(), int64(0))
+	close(listener.conns)
+}
--- a/roller/bring.go
+++ b/roller/bring.go
@@ -38,7 +38,7 @@
 		return
 	}
 	r.notice(place, t)
-	pacer.Wait(ctx, noticeWait)
+	r.empty(ctx, place)
 	order, err := r.give(ctx, place, t, report.Seq)
 	if errors.Is(err, errNotGiven) {
 		return
@@ -94,24 +94,41 @@
 
 // follow asks the engine until it has the version or has taken too long.
 func (r *Roller) follow(ctx context.Context, place *monitor.Monitor, t task) {
-	giveUp := r.now().Add(loadLimit)
+	giveUp, noticeBy := r.now().Add(loadLimit), r.now().Add(noticeEvery)
 	for pacer.Wait(ctx, roundEvery) && r.now().Before(giveUp) {
 		report, err := r.report(ctx, place)
 		if err != nil || r.done(place, t, report) {
 			return
 		}
-		if report.Busy {
-			giveUp = r.now().Add(loadLimit / 2)
+		if !report.Busy {
+			continue
+		}
+		giveUp = r.now().Add(loadLimit / 2)
+		if !r.now().Before(noticeBy) {
 			r.notice(place, t)
+			noticeBy = r.now().Add(noticeEvery)
 		}
 	}
 }
 
+// notice tells that an engine goes or is out of service.
 func (r *Roller) notice(place *monitor.Monitor, t task) {
 	place.Loading(time.Now().Add(loadLimit / 2))
 	r.share.Weights(place, t.model, 0, int((loadLimit / 2).Milliseconds()))
 }
 
+// empty waits until the others have heard that the engine goes out of service
+// and what waits there has begun: an order refuses what has not.
+func (r *Roller) empty(ctx context.Context, place *monitor.Monitor) {
+	by := r.now().Add(emptyWait)
+	for pacer.Wait(ctx, noticeWait) && r.now().Before(by) {
+		view := place.View("", time.Now())
+		if view.Engine == nil || view.Load.Requests <= view.Engine.Slots {
+			return
+		}
+	}
+}
+
 func (r *Roller) report(ctx context.Context, place *monitor.Monitor) (Report, error) {
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -31,8 +31,12 @@
 	// takePause is the wait after the lease could not be taken.
 	takePause = 500 * time.Millisecond
 	// noticeWait lets the other instances hear that an engine goes out of
-	// service before it is ordered: one interval of notes.
+	// service before it is ordered.
 	noticeWait = 60 * time.Millisecond
+	// emptyWait bounds the wait until what waits at the engine has begun, and
+	// noticeEvery is the interval at which the others are told again.
+	emptyWait   = 600 * time.Millisecond
+	noticeEvery = loadLimit / 6
 )
 
 // Verdicts on an order.
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -96,6 +96,13 @@
 	return nil
 }
 
+// given returns the number of orders.
+func (f *fleet) given() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
 func (f *fleet) behind(version int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -176,6 +183,38 @@
 	})
 }
 
+// slow is a table that takes a while for each call.
+type slow struct{ tabler.Table }
+
+func (s slow) Get(ctx context.Context, keys ...string) ([]tabler.Row, error) {
+	time.Sleep(100 * time.Millisecond)
+	return s.Table.Get(ctx, keys...)
+}
+
+func (s slow) Apply(ctx context.Context, writes []tabler.Write) ([]tabler.Row, error) {
+	time.Sleep(100 * time.Millisecond)
+	return s.Table.Apply(ctx, writes)
+}
+
+// A holder that stops while it renews the lease gives no order after that. It
+// runs by the real clock: a bubble's stands still while the leaser's lock is
+// waited for.
+func TestStopDuringRenewal(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			t.Parallel()
+			engines := newFleet()
+			first, beliefs := instance(t.Context(), t, "a", engines, slow{storekeeper.New(time.Now).Table()})
+			beliefs.PutWeights("m", 2, time.Now())
+			time.Sleep(time.Second + offset)
+			first.Stop(t.Context())
+			before := engines.given()
+			time.Sleep(1500 * time.Millisecond)
+			assert.Equal(t, engines.given(), before)
+		})
+	}
+}
+
 // Two instances that never hear each other still take no turns: orders of one
 // follow those of the other only after the quiet time.
 func TestDeafInstancesTakeNoTurns(t *testing.T) {
