--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -48,10 +48,12 @@
 	dark    map[string]bool
 	orders  []given
 	most    int
+	// takes is how long an engine loads.
+	takes time.Duration
 }
 
 func newFleet() *fleet {
-	f := &fleet{weights: map[string]int{}, busy: map[string]bool{}, seq: map[string]int{}, dark: map[string]bool{}}
+	f := &fleet{weights: map[string]int{}, busy: map[string]bool{}, seq: map[string]int{}, dark: map[string]bool{}, takes: loadTime}
 	for i := range engineNum {
 		f.weights[fmt.Sprintf("e%d", i)] = 1
 	}
@@ -88,7 +90,7 @@
 		}
 	}
 	h.most = max(h.most, loading)
-	time.AfterFunc(loadTime, func() {
+	time.AfterFunc(h.takes, func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.busy[engine.Name], h.weights[engine.Name] = false, order.Version
@@ -204,8 +206,14 @@
 		t.Run(offset.String(), func(t *testing.T) {
 			t.Parallel()
 			engines := newFleet()
+			engines.takes = 20 * time.Millisecond
 			first, beliefs := instance(t.Context(), t, "a", engines, slow{storekeeper.New(time.Now).Table()})
-			beliefs.PutWeights("m", 2, time.Now())
+			go func() { // there is always something to order
+				for version := 2; t.Context().Err() == nil; version++ {
+					beliefs.PutWeights("m", version, time.Now())
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
 			time.Sleep(time.Second + offset)
 			first.Stop(t.Context())
 			before := engines.given()
