Load a fifth of the engines at once; engines that load have no room

Cause: rollouts took two fifths of the engines out of service, and long prompts went to engines that were loading, since these alone were not full: they were refused there again and again. Requests left their data centre for three milliseconds of load. Change: a fifth, rounded, at once; a long prompt waits for an engine that works rather than go to one that loads or fails; leaving the data centre costs 20 ms. TestPlan had the old width in it: 12 of 60 instead of 23.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,7 +34,7 @@
 	serviceMillis = 20.0
 	// crossMillis is the cost of leaving the data centre: about the round trip,
 	// and the price of bytes between data centres.
-	crossMillis = 3.0
+	crossMillis = 20.0
 	// crossTransfer is how much slower a transfer between data centres is.
 	crossTransfer = 2.0
 	// shunMillis is the penalty of an endpoint that failed of late.
@@ -173,10 +173,18 @@
 	return millis
 }
 
-// full reports whether a long prompt must wait for others to end.
+// full reports whether a long prompt must wait: for others to end, or for an
+// engine that would refuse it. Else engines that load, which are empty, would
+// go before all that work.
 func full(need Need, view monitor.View) bool {
 	capacity := float64(view.Engine.Capacity)
-	if float64(need.Prompt) < longPrompt*capacity || view.Load.Requests == 0 {
+	if float64(need.Prompt) < longPrompt*capacity {
+		return false
+	}
+	if view.Loading || view.Shunned {
+		return true
+	}
+	if view.Load.Requests == 0 {
 		return false
 	}
 	return float64(view.Load.Memory+need.Prompt) > runningShare*capacity
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -71,6 +71,18 @@
 	assert.Assert(t, !placer.Choose(huge, []placer.Candidate{alone}, nil).Full, "an idle engine takes any prompt")
 }
 
+// A long prompt waits for an engine that works rather than go to an empty one
+// that would refuse it.
+func TestRefusingEnginesHaveNoRoom(t *testing.T) {
+	full := at("a", func(c *placer.Candidate) { c.View.Load = monitor.Load{Requests: 4, Memory: 70000} })
+	loading := at("a", func(c *placer.Candidate) { c.View.Loading = true })
+	failing := at("a", func(c *placer.Candidate) { c.View.Shunned = true })
+	choice := placer.Choose(long, []placer.Candidate{loading, full, failing}, nil)
+	assert.Equal(t, choice.Place, 1)
+	assert.Assert(t, choice.Full)
+	assert.Equal(t, placer.Choose(long, []placer.Candidate{loading, at("b", nil)}, nil).Place, 1)
+}
+
 // A part is fetched where that is quicker than reading, from the quickest
 // source with the same weights.
 func TestFetch(t *testing.T) {
--- a/roller/plan.go
+++ b/roller/plan.go
@@ -15,13 +15,11 @@
 	Version int
 }
 
-// width returns how many engines of a pool may be out of service at once. A
-// fifth of them load together as fast as one; the others still finish what
-// they run.
-func width(engines int) int {
-	const loadShare, drainShare = 5, 2
-	return max(1, (engines+loadShare/2)/loadShare*drainShare-1)
-}
+// loadShare is the share of a pool's engines that load together as fast as one.
+const loadShare = 5
+
+// width returns how many engines of a pool may be out of service at once.
+func width(engines int) int { return max(1, (engines+loadShare/2)/loadShare) }
 
 // Plan returns the engines to order next: those with the oldest weights first,
 // and of these the ones that finish soonest, so that few requests begin on old
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -254,5 +254,5 @@
 	assert.Equal(t, next[0], steps[2], "the oldest first, and of these the one that ends soonest")
 	assert.Equal(t, len(roller.Plan(9, 3, steps)), 0)
 	assert.Equal(t, len(roller.Plan(1, 0, steps)), 1, "a single engine is ordered too")
-	assert.Equal(t, len(roller.Plan(60, 0, make([]roller.Step, 60))), 23)
+	assert.Equal(t, len(roller.Plan(60, 0, make([]roller.Step, 60))), 12)
 }
