Count what an instance that ends still runs; split files and functions

Cause: an instance that ends speaks for its data centre no more; where it had reported to nobody, others took its notes for those of a reporter elsewhere and did not count what it still ran. Figures: TestLeavingInstanceIsCounted.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -41,26 +41,6 @@
 	Weights map[string]int
 }
 
-// Load is work in flight at an endpoint.
-type Load struct {
-	// Requests is the number of requests.
-	Requests int
-	// Unread is the number of prompt tokens that are still to be read.
-	Unread int
-	// Memory is the number of tokens held by the requests.
-	Memory int
-}
-
-// Add returns the sum of l and other.
-func (l Load) Add(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Memory: l.Memory + other.Memory}
-}
-
-type peerLoad struct {
-	load    Load
-	staleBy time.Time
-}
-
 // Monitor holds what is known of one incarnation of an endpoint.
 type Monitor struct {
 	Key uint64
@@ -110,23 +90,6 @@
 	return m.entry
 }
 
-// Begin counts work of this instance that is sent at now.
-func (m *Monitor) Begin(load Load, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.own.Requests == 0 {
-		m.heard = now
-	}
-	m.own = m.own.Add(load)
-}
-
-// End takes back work that Begin counted.
-func (m *Monitor) End(load Load) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.own = m.own.Add(Load{Requests: -load.Requests, Unread: -load.Unread, Memory: -load.Memory})
-}
-
 // Heard notes that the endpoint sent something at now.
 func (m *Monitor) Heard(now time.Time) {
 	m.mu.Lock()
@@ -149,44 +112,6 @@
 	return now.Sub(m.heard)
 }
 
-// Own returns the work of this instance.
-func (m *Monitor) Own() Load {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.own
-}
-
-// Told takes in the work of another instance.
-func (m *Monitor) Told(peer string, load Load, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if load == (Load{}) {
-		delete(m.peers, peer)
-		return
-	}
-	m.peers[peer] = peerLoad{load: load, staleBy: now.Add(peerStale)}
-}
-
-// Forget drops what other instances told of their work.
-func (m *Monitor) Forget() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	clear(m.peers)
-}
-
-// Shares returns the work that other instances told of late, by their names.
-func (m *Monitor) Shares(now time.Time) map[string]Load {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	shares := make(map[string]Load, len(m.peers)+1)
-	for peer, told := range m.peers {
-		if now.Before(told.staleBy) {
-			shares[peer] = told.load
-		}
-	}
-	return shares
-}
-
 // Keep notes that the endpoint holds a part, or is about to if it is not ready.
 func (m *Monitor) Keep(part uint64, tokens int, ready bool) {
 	m.mu.Lock()
--- a/sharer/hear.go
+++ b/sharer/hear.go
@@ -60,15 +60,16 @@
 	s.pass(heard)
 }
 
-// speaksFor reports whether the loads of a note count here: those of hubs for
-// a hub, those of its own hub for another, and those of who reports here.
+// speaksFor reports whether the loads of a note count here: those of its hub
+// for an instance that reports to one; else those of all who report here or to
+// nobody.
 func (s *Sharer) speaksFor(heard *note) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if heard.Hub == s.self.Name || heard.Name == s.self.hub {
-		return true
+	if s.self.hub != "" {
+		return heard.Name == s.self.hub
 	}
-	return s.self.hub == "" && heard.Flags.has(flagHub)
+	return heard.Hub == "" || heard.Hub == s.self.Name
 }
 
 // hearLoads takes in loads; endpoints that are not named carry none.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -112,6 +112,19 @@
 	eventually(t, "a is gone", func() bool { return len(b.share.Live()) == 1 })
 }
 
+// What an instance that ends still runs is known in other data centres, though
+// it speaks for its own no more.
+func TestLeavingInstanceIsCounted(t *testing.T) {
+	a, b := newOneIn(t, "a", "d1", 1), newOneIn(t, "b", "d2", 1)
+	a.share.Meet([]sharer.Peer{{Name: "b", DataCentre: "d2", Address: b.address}})
+	eventually(t, "both hear each other", func() bool { return len(a.share.Live()) == 2 && len(b.share.Live()) == 2 })
+	a.share.Leave(false)
+	eventually(t, "a is no candidate", func() bool { return len(b.share.Candidates()) == 1 })
+	load := monitor.Load{Requests: 1, Unread: 64, Memory: 64}
+	a.engine().Begin(load, time.Now())
+	eventually(t, "b knows the load", func() bool { return b.engine().View("m", time.Now()).Load == load })
+}
+
 // raw returns a datagram with the fields of a note in their order.
 func raw(t *testing.T, fields ...any) []byte {
 	t.Helper()
--- a/sharer/tell.go
+++ b/sharer/tell.go
@@ -46,49 +46,62 @@
 	}
 }
 
-// choose decides whether this instance is a hub, and to which it reports.
+// choose decides whether this instance is a hub, to which it reports, and from
+// which it has the tables.
 func (s *Sharer) choose() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	others, before, nearest, best := 0, 0, "", 0.0
-	first := s.self
-	for name, peer := range s.peers {
-		if s.silent(peer) || peer.DataCentre != s.self.DataCentre || !peer.flags.has(flagHub) || peer.flags.has(flagLeaving) {
-			continue
-		}
-		others++
-		if elector.Before(peer.Rate, name, first.Rate, first.Name) {
-			first = *peer
+	hubs := s.hubs()
+	first, before, nearest, best := &s.self, 0, "", 0.0
+	for _, peer := range hubs {
+		if elector.Before(peer.Rate, peer.Name, first.Rate, first.Name) {
+			first = peer
 		}
-		if elector.Before(peer.Rate, name, s.self.Rate, s.self.Name) {
+		if elector.Before(peer.Rate, peer.Name, s.self.Rate, s.self.Name) {
 			before++
 		}
-		if score := elector.Score(s.self.Name, name, peer.Rate); score > best {
-			nearest, best = name, score
+		if score := elector.Score(s.self.Name, peer.Name, peer.Rate); score > best {
+			nearest, best = peer.Name, score
 		}
 	}
-	hub := s.elect.Decide(others, before, s.now()) && !s.self.flags.has(flagLeaving)
+	hub := s.elect.Decide(len(hubs), before, s.now()) && !s.self.flags.has(flagLeaving)
 	hub = hub || s.self.flags.has(flagLead) // all who may take the lease must know who holds it
+	s.source = nearest
 	if hub {
-		nearest = ""
+		nearest, s.source = "", ""
+		if first != &s.self && s.size() > directMost {
+			s.source = first.Name
+		}
 	}
-	s.source = nearest
-	if hub && first.Name != s.self.Name && s.size() > directMost {
-		s.source = first.Name
+	s.become(hub, nearest)
+}
+
+// hubs returns the other live hubs of the data centre that do not end.
+func (s *Sharer) hubs() []*Peer {
+	var hubs []*Peer
+	for _, peer := range s.peers {
+		if !s.silent(peer) && peer.DataCentre == s.self.DataCentre && peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) {
+			hubs = append(hubs, peer)
+		}
 	}
-	if hub == s.self.flags.has(flagHub) && nearest == s.self.hub {
+	return hubs
+}
+
+// become takes on the role of a hub, or of one that reports to a hub.
+func (s *Sharer) become(hub bool, reports string) {
+	if hub == s.self.flags.has(flagHub) && reports == s.self.hub {
 		return
 	}
 	s.self.flags &^= flagHub
 	if hub {
 		s.self.flags |= flagHub
 	}
-	s.self.hub = nearest
+	s.self.hub = reports
 	// What others told is told anew under the new order, and must not count twice.
 	for _, one := range s.places() {
 		one.Forget()
 	}
-	s.log.Info("role among the instances changed", zap.Bool("hub", hub), zap.String("reports", nearest), zap.Int("hubs", others))
+	s.log.Info("role among the instances changed", zap.Bool("hub", hub), zap.String("reports", reports))
 }
 
 // places returns the endpoints and stores.
