--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -179,7 +179,7 @@
 	go c.roll.Run(background)
 	go c.relay.Watch(background)
 	go c.meet(background)
-	go c.inform.Run(background, c.share.Source, c.share.Addresses)
+	go c.inform.Run(background, c.share.Source)
 	go c.divide(background)
 	c.log.Info("instance serving", zap.String("name", c.options.Name), zap.String("caller", c.options.Caller))
 	select {
--- a/informer/answerer.go
+++ b/informer/answerer.go
@@ -102,7 +102,7 @@
 		}
 		if err != nil {
 			i.log.Warn("connection of a peer not accepted", zap.String("error", err.Error()))
-			time.Sleep(askEvery)
+			time.Sleep(sourceCheck)
 			continue
 		}
 		go server.ServeConn(conn)
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"time"
@@ -20,9 +19,6 @@
 )
 
 const (
-	// askEvery is the interval at which a peer is asked while the store does
-	// not answer.
-	askEvery = 300 * time.Millisecond
 	// behindFor is how long an instance waits for news to come by itself
 	// before it asks the peer that knows more: the way of a large table over a
 	// slow link.
@@ -76,16 +72,10 @@
 }
 
 // Run has the tables from the instance at the address that source returns, and
-// asks one of the peers at addresses while the store does not answer, until ctx
-// ends.
-func (i *Informer) Run(ctx context.Context, source func() string, addresses func() []string) {
+// asks peers that know more, until ctx ends.
+func (i *Informer) Run(ctx context.Context, source func() string) {
 	go i.follow(ctx, source)
-	go i.catchUp(ctx)
-	for pacer.Wait(ctx, pacer.Jitter(askEvery)) {
-		if peers := addresses(); i.lost() && len(peers) > 0 {
-			i.askOnce(peers[rand.IntN(len(peers))])
-		}
-	}
+	i.catchUp(ctx)
 }
 
 // catchUp asks peers that know more, if what they know does not come by
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -124,7 +124,7 @@
 	i.inform = informer.New([]*feeder.Feeder{i.feed}, dial, count, zap.NewNop())
 	go func() { _ = i.inform.Serve(listener) }()
 	go i.feed.Run(t.Context())
-	go i.inform.Run(t.Context(), i.from, func() []string { return nil })
+	go i.inform.Run(t.Context(), i.from)
 	t.Cleanup(func() { _ = listener.Close() })
 	return i
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -187,19 +187,6 @@
 	return !s.silent(peer) && peer.hub == s.self.Name
 }
 
-// Addresses returns the addresses of the other live instances.
-func (s *Sharer) Addresses() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var addresses []string
-	for _, peer := range s.peers {
-		if !s.silent(peer) {
-			addresses = append(addresses, peer.Address)
-		}
-	}
-	return addresses
-}
-
 // Source returns the address of the instance from which this one has the
 // tables: the hub that it reports to, or for one of many hubs the first of its
 // data centre. It is "" for the first, and while the source was not heard of late.
