Wait until an answer is kept before the cut in TestCutDataCentre

The answer of once-only work is kept beside its way to the caller; the test cut the data centre off right after the answer, and under load before the answer was kept. The verdict was true, the test's order was wrong. Ruled out: a lost claim (the row was open, its owner cut off). With the saving delayed by 300 ms the old test fails each time in the same line, the new one passes. Change: the counter once.saved, for which the test waits; its checks stay.

--- a/claimer/keep.go
+++ b/claimer/keep.go
@@ -34,6 +34,7 @@
 		c.count.Add("once", "unsaved")
 		return
 	}
+	c.count.Add("once", "saved")
 	c.forget(known)
 }
 
--- a/stager/control_test.go
+++ b/stager/control_test.go
@@ -137,6 +137,9 @@
 	stage := open(t, func(o *stager.Options) { threeSites(o); o.Services = 3 })
 	inside, outside := stage.Callers()[0], stage.Callers()[2]
 	assert.Equal(t, call(t, booking(inside, "before", "slot 1")).verdict, "ran")
+	// The answer is kept beside its way to the caller; cut before that, a resend
+	// outside would be in doubt.
+	eventually(t, 10*time.Second, "the answer is not kept", func() bool { return stage.Instances[0].Counters()["once.saved"] == 1 })
 	stage.Cut("a", true)
 	stage.Set.Routes[0].Model = "renamed"
 	_, err := stage.Instances[2].Publish(t.Context(), stage.Set.Encode(), nil)
