Have each instance of a small fleet read the store itself

Cause: an instance that reports to a hub had the tables from it in a fleet of any size; where the hub loses power, a change is heard of 1.2 s late, most of the two seconds that small sites allow. Change: up to 14 instances each reads the store, where calls are few.

--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -46,8 +46,8 @@
 	maxRead     = 64 << 10
 	// mostParts bounds the parts in a note, so that it is not cut up on its way.
 	mostParts = 40
-	// directMost is the number of instances up to which each hub reads the
-	// tables from the store, as calls to it are few then.
+	// directMost is the number of instances up to which each reads the tables
+	// from the store, as calls to it are few then.
 	directMost = 14
 	// wideMost is the number of endpoints above which only notes at rest tell
 	// of those in other data centres.
@@ -188,8 +188,8 @@
 }
 
 // Source returns the address of the instance from which this one has the
-// tables: the hub that it reports to, or for one of many hubs the first of its
-// data centre. It is "" for the first, and while the source was not heard of late.
+// tables: the hub that it reports to, or for a hub the first of its data centre.
+// It is "" for the first, in a small fleet, and while the source was not heard of late.
 func (s *Sharer) Source() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -237,6 +237,7 @@
 		return count
 	}
 	eventually(t, "two report", func() bool { return reporters() == 2 })
+	assert.Assert(t, every(all, func(o *one) bool { return o.share.Source() == "" }), "each of a few reads the tables itself")
 	hubs := all[:0:0]
 	for _, o := range all {
 		if !o.share.Reports() {
--- a/sharer/tell.go
+++ b/sharer/tell.go
@@ -68,10 +68,10 @@
 	hub = hub || s.self.flags.has(flagLead) // all who may take the lease must know who holds it
 	s.source = nearest
 	if hub {
-		nearest, s.source = "", ""
-		if first != &s.self && s.size() > directMost {
-			s.source = first.Name
-		}
+		nearest, s.source = "", first.Name
+	}
+	if s.source == s.self.Name || s.size() <= directMost {
+		s.source = ""
 	}
 	s.become(hub, nearest)
 }
