Refuse datagrams with lists longer than themselves

The codec makes room for a list of the length that the datagram names before it reads it, so that one malformed datagram of 45 bytes could end an instance. Ruled out: bounds on the decoded fields, which come too late. Change: a first pass skips through the datagram without making room, and fails where a list is longer than what follows.

--- a/sharer/note.go
+++ b/sharer/note.go
@@ -107,6 +107,11 @@
 
 // decode reads a datagram and checks it.
 func decode(data []byte) (*note, error) {
+	// The codec makes room for a list before it reads it; a first pass finds
+	// lists that are longer than the datagram.
+	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+		return nil, eris.Wrap(err, "decode note")
+	}
 	n := &note{}
 	if err := msgpack.Unmarshal(data, n); err != nil {
 		return nil, eris.Wrap(err, "decode note")
