--- a/informer/informer.go
+++ b/informer/informer.go
@@ -1,7 +1,7 @@
 // Package informer lets instances have the followed tables from one another:
 // from a source, so that the store answers only one of a data centre, and from
-// any peer that knows more, so that an instance serves after a start during an outage
-// and goes on with what is newest when it alone is cut off.
+// any peer that knows more, so that an instance serves after a start during an
+// outage and goes on with what is newest when it alone is cut off.
 package informer
 
 import (
--- a/sharer/tell.go
+++ b/sharer/tell.go
@@ -26,8 +26,8 @@
 	all
 )
 
-// letter is a note with the addresses to which it goes.
-type letter struct {
+// datagram is a note with the addresses to which it goes.
+type datagram struct {
 	note      *note
 	addresses []string
 }
@@ -114,22 +114,22 @@
 // largest.
 func (s *Sharer) tell(due due) int {
 	s.mu.Lock()
-	letters := s.letters(due)
+	list := s.datagrams(due)
 	s.mu.Unlock()
 	largest := 0
-	for _, l := range letters {
-		largest = max(largest, s.send(l))
+	for _, one := range list {
+		largest = max(largest, s.send(one))
 	}
 	return largest
 }
 
-func (s *Sharer) send(l letter) int {
-	data, err := l.note.encode()
+func (s *Sharer) send(d datagram) int {
+	data, err := d.note.encode()
 	if err != nil {
 		s.log.Error("note not encoded", zap.String("error", err.Error()))
 		return 0
 	}
-	for _, address := range l.addresses {
+	for _, address := range d.addresses {
 		target, err := net.ResolveUDPAddr("udp4", address)
 		if err == nil {
 			_, err = s.conn.WriteTo(data, target)
@@ -138,12 +138,12 @@
 			s.count.Add("notes", "unsent") // a cut link or a peer that is gone; the next note tells the same
 		}
 	}
-	s.count.AddMany("notes", "sent", len(l.addresses))
+	s.count.AddMany("notes", "sent", len(d.addresses))
 	return len(data)
 }
 
-// letters returns the next notes with the peers to which they go.
-func (s *Sharer) letters(due due) []letter {
+// datagrams returns the next notes with the peers to which they go.
+func (s *Sharer) datagrams(due due) []datagram {
 	s.seq++
 	var toHubs, toGroup news
 	if due > urgent || s.toHubs.urgent() {
@@ -159,15 +159,15 @@
 		toGroup.add(again)
 	}
 	works := s.works()
-	var letters []letter
+	var list []datagram
 	post := func(next *note, addresses ...string) {
 		if next.worth(due) {
-			letters = append(letters, letter{next, addresses})
+			list = append(list, datagram{next, addresses})
 		}
 	}
 	if hub := s.peers[s.self.hub]; hub != nil {
 		post(s.note(works.of(s.self.Name), toHubs), hub.Address)
-		return letters
+		return list
 	}
 	group := []string{s.self.Name}
 	for name, peer := range s.peers {
@@ -187,7 +187,7 @@
 		}
 		post(next, s.peers[name].Address)
 	}
-	return letters
+	return list
 }
 
 // farther returns the addresses of the other hubs and, at rest, of those who
