Keep the retry budget in every window

Cause: a retry was allowed by the requests of the ten steps before it. Retries at the end of a busy span then stood in a later window without these requests: of TestBudgetHoldsInEveryWindow, 18 retries for 23 requests. Ruled out: the division among instances; TestOldRequestsAllowNoBurst shows it with one instance (32 retries, 12 allowed). Change: the rule must hold for each span of steps that ends now, with the step before it.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -61,25 +61,34 @@
 }
 
 // TryRetry takes one retry from the budget and reports whether the budget
-// allowed it.
+// allowed it. The rule must hold for each span of steps that ends now, with the
+// requests of the span and of the step before it: if only older requests allowed
+// the retries, these would exceed the rule in a window that begins later.
 func (b *Budget) TryRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.currentSlot()
-	requests, retries := 0.0, 0.0
-	for _, slot := range b.slots {
-		if current.step-slot.step < windowSteps {
-			requests += slot.requests
-			retries += slot.retries
+	requests, retries := current.requests, 1.0
+	for age := range int64(windowSteps) {
+		retries += b.slotAt(current.step - age).retries
+		requests += b.slotAt(current.step - age - 1).requests
+		if retries > b.rule.Ratio*requests+b.rule.ExtraRetries*b.instanceShare {
+			return false
 		}
 	}
-	if retries+1 > b.rule.Ratio*requests+b.rule.ExtraRetries*b.instanceShare {
-		return false
-	}
 	current.retries++
 	return true
 }
 
+// slotAt returns the counts of a step, which are zero if they are not stored.
+func (b *Budget) slotAt(step int64) slot {
+	stored := b.slots[(step+windowSteps)%windowSteps]
+	if stored.step != step {
+		return slot{}
+	}
+	return stored
+}
+
 // currentSlot returns the slot of the current step, reset if it is from an earlier window.
 func (b *Budget) currentSlot() *slot {
 	stepMillis := int64(b.rule.WindowMillis) / windowSteps
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -62,3 +62,23 @@
 	now = now.Add(11 * time.Second)
 	assert.Assert(t, budget.TryRetry())
 }
+
+// Requests must not allow retries that fall into a window without them: seed
+// 12198589523180520881 of TestBudgetHoldsInEveryWindow found 18 retries for 23
+// requests.
+func TestOldRequestsAllowNoBurst(t *testing.T) {
+	now := time.Now()
+	rule := budgeter.Rule{Ratio: 0.2, ExtraRetries: 12, WindowMillis: 10000}
+	budget := budgeter.New(rule, func() time.Time { return now })
+	for range 100 {
+		budget.RecordRequest()
+	}
+	now = now.Add(8500 * time.Millisecond)
+	retries := 0
+	for range 100 {
+		if budget.TryRetry() {
+			retries++
+		}
+	}
+	assert.Equal(t, retries, int(rule.ExtraRetries))
+}
