Keep the time of new weights across restarts, and roll out in time

Cause: an instance dated each version of weights by the moment it learned it, so one that started used old weights for a whole period more. The lease on orders passed from one instance to the next as they were stopped in turn, and each handover costs the pause between holders. A fifth of the engines loaded at once whatever the time left. Ruled out: late rows; the instance had them at once. Change: package versioner keeps until when older versions may be used, by a clock that goes on while a process is suspended. Instances send it with their heartbeats; one that starts assumes the time in which it has to catch up until another one tells. An endpoint that was leaving already at the start gets nothing. If the only newer engine was tried in vain, an older one is used until its weights are out of use, and none afterwards; it was not chosen at all before. The lease goes to the instance that started last; a holder that stops goes on with its rollout until its requests are done, at most for the pause that a successor would have to keep. The datagram has one more field, so instances of both formats do not understand each other during an upgrade; each then follows the store itself.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -75,8 +75,8 @@
 	// NewestVersion is the newest version of the model's weights.
 	NewestVersion int
 	// MinVersion is the oldest version of the weights that should still be
-	// used.
-	MinVersion int
+	// used, RequiredVersion the oldest one on which a request may start.
+	MinVersion, RequiredVersion int
 }
 
 // Candidate is an endpoint that may be chosen.
@@ -126,10 +126,7 @@
 // candidates with room, and the source to fetch cached parts from.
 func Choose(requirements Requirements, candidates []Candidate, sources []Source) Choice {
 	best := Choice{CandidateIndex: -1, SourceIndex: -1}
-	minVersion := requirements.MinVersion
-	if !anyServes(minVersion, candidates) {
-		minVersion = 0
-	}
+	minVersion := minVersion(requirements, candidates)
 	for index, candidate := range candidates {
 		if candidate.Excluded || candidate.View.Left || candidate.View.Weights < minVersion {
 			continue
@@ -142,15 +139,28 @@
 	return best
 }
 
-// anyServes reports whether any endpoint serves at least minVersion. If none
-// does, an answer from older weights is better than none.
-func anyServes(minVersion int, candidates []Candidate) bool {
+// minVersion returns the oldest version to be used: that which should be used if
+// an eligible candidate serves it, otherwise the required one. If no endpoint at
+// all serves that, an answer from older weights is better than none.
+func minVersion(requirements Requirements, candidates []Candidate) int {
+	serves, eligible := 0, 0
 	for _, candidate := range candidates {
-		if !candidate.View.Left && candidate.View.Weights >= minVersion {
-			return true
+		if candidate.View.Left {
+			continue
 		}
+		serves = max(serves, candidate.View.Weights)
+		if !candidate.Excluded {
+			eligible = max(eligible, candidate.View.Weights)
+		}
+	}
+	switch {
+	case eligible >= requirements.MinVersion:
+		return requirements.MinVersion
+	case serves >= requirements.RequiredVersion:
+		return requirements.RequiredVersion
+	default:
+		return 0
 	}
-	return false
 }
 
 // predict returns the predicted latency and cost of the candidate at index.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -65,6 +65,18 @@
 	assert.Equal(t, placer.Choose(requirements, []placer.Candidate{candidateIn("a", old)}, nil).CandidateIndex, 0)
 }
 
+// If the only engine with newer weights was tried in vain, an older one is used as
+// long as a request may start on its weights, and none afterwards.
+func TestNewerEngineTried(t *testing.T) {
+	old := candidateIn("a", func(c *placer.Candidate) { c.View.Weights = 1 })
+	tried := candidateIn("b", func(c *placer.Candidate) { c.Excluded = true })
+	requirements := placer.Requirements{PromptTokens: 300, DataCentre: "a", NewestVersion: 2, MinVersion: 2}
+	assert.Equal(t, placer.Choose(requirements, []placer.Candidate{old, tried}, nil).CandidateIndex, 0)
+	requirements.RequiredVersion = 2
+	assert.Equal(t, placer.Choose(requirements, []placer.Candidate{old, tried}, nil).CandidateIndex, -1)
+	assert.Equal(t, placer.Choose(requirements, []placer.Candidate{old}, nil).CandidateIndex, 0, "no engine has newer weights")
+}
+
 // When every engine is at its limit for running requests, a long prompt waits
 // and a short one is placed at once.
 func TestFull(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,7 +5,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -14,43 +13,13 @@
 	"wisteriadrum/holder"
 	"wisteriadrum/monitor"
 	"wisteriadrum/router"
+	"wisteriadrum/versioner"
 )
 
 // departedRetention is how long an endpoint is kept after it has left, so that
 // its last answers are still counted.
 const departedRetention = 10 * time.Second
 
-// Versions is the known versions of a model's weights in ascending order.
-type Versions []Version
-
-// Version is a version of weights with the time it became known.
-type Version struct {
-	Number int
-	Since  time.Time
-}
-
-// maxVersions limits the number of versions kept for a model.
-const maxVersions = 16
-
-// Newest returns the newest version, 0 if none is known.
-func (v Versions) Newest() int {
-	if len(v) == 0 {
-		return 0
-	}
-	return v[len(v)-1].Number
-}
-
-// NewestBefore returns the newest version that became known before at, or 0.
-func (v Versions) NewestBefore(at time.Time) int {
-	newest := 0
-	for _, version := range v {
-		if version.Since.Before(at) {
-			newest = version.Number
-		}
-	}
-	return newest
-}
-
 // Fleet is an immutable snapshot of the endpoints and stores.
 type Fleet struct {
 	byName map[string]*monitor.Monitor
@@ -95,11 +64,16 @@
 type Registrar struct {
 	table   holder.Value[*router.Table]
 	fleet   holder.Value[*Fleet]
-	weights holder.Value[map[string]Versions]
+	weights holder.Value[map[string]versioner.Versions]
+	now     func() time.Time
 }
 
-// New returns an empty registrar.
-func New() *Registrar { return &Registrar{} }
+// New returns an empty registrar. now is the clock of the versions of weights; it
+// continues while the process is suspended.
+func New(now func() time.Time) *Registrar { return &Registrar{now: now} }
+
+// Now returns the time by the clock of the versions of weights.
+func (r *Registrar) Now() time.Time { return r.now() }
 
 // Table returns the configuration in force, nil before the first one.
 func (r *Registrar) Table() *router.Table { return r.table.Load() }
@@ -108,10 +82,10 @@
 func (r *Registrar) Fleet() *Fleet { return r.fleet.Load() }
 
 // Versions returns the known versions of a model.
-func (r *Registrar) Versions(model string) Versions { return r.weights.Load()[model] }
+func (r *Registrar) Versions(model string) versioner.Versions { return r.weights.Load()[model] }
 
 // VersionsByModel returns the known versions of all models.
-func (r *Registrar) VersionsByModel() map[string]Versions { return r.weights.Load() }
+func (r *Registrar) VersionsByModel() map[string]versioner.Versions { return r.weights.Load() }
 
 // PutTable stores a configuration unless the one in force is as new or newer,
 // and reports whether it was stored.
@@ -132,25 +106,22 @@
 
 // AddVersion adds a version of a model's weights and reports whether it is
 // newer than all known ones.
-func (r *Registrar) AddVersion(model string, version int, now time.Time) bool {
-	stored := false
-	r.weights.Update(func(old map[string]Versions) map[string]Versions {
-		if old[model].Newest() >= version {
+func (r *Registrar) AddVersion(model string, version versioner.Version) bool {
+	newer := false
+	r.weights.Update(func(old map[string]versioner.Versions) map[string]versioner.Versions {
+		versions, changed := old[model].With(version)
+		if !changed {
 			return old
 		}
-		stored = true
+		newer = version.Number > old[model].Newest()
 		next := maps.Clone(old)
 		if next == nil {
-			next = map[string]Versions{}
+			next = map[string]versioner.Versions{}
 		}
-		existing := old[model]
-		if len(existing) == maxVersions {
-			existing = existing[1:]
-		}
-		next[model] = append(slices.Clone(existing), Version{Number: version, Since: now})
+		next[model] = versions
 		return next
 	})
-	return stored
+	return newer
 }
 
 // PutEndpoints applies changed entries and the names of removed ones in gone.
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -61,7 +61,10 @@
 	requirements := placer.Requirements{PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, DataCentre: r.deps.DataCentre}
 	if request.Model != "" {
 		versions := r.deps.Registrar.Versions(request.Model)
-		requirements.NewestVersion, requirements.MinVersion = versions.Newest(), versions.NewestBefore(now.Add(-r.deps.WeightsExpiry))
+		at := r.deps.Registrar.Now()
+		requirements.NewestVersion = versions.Newest()
+		requirements.MinVersion = versions.Required(at.Add(r.deps.WeightsMargin))
+		requirements.RequiredVersion = versions.Required(at.Add(r.deps.WeightsMargin / lateWeightsPart))
 	}
 	if len(monitors) == 0 {
 		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is known", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -35,6 +35,9 @@
 	// roomCheckInterval is the mean interval at which a waiting request checks
 	// for an engine with room.
 	roomCheckInterval = 20 * time.Millisecond
+	// lateWeightsPart is the part of WeightsMargin in which no request is sent to
+	// older weights any more.
+	lateWeightsPart = 4
 	// retryAfter is the default delay after which a caller may retry: about the
 	// time until a change of the endpoints appears in their list.
 	retryAfter = time.Second
@@ -61,9 +64,10 @@
 	RetryRule budgeter.Rule
 	// DataCentre is the data centre of this instance.
 	DataCentre string
-	// WeightsExpiry is how long older weights may be used after a newer version
-	// became known.
-	WeightsExpiry time.Duration
+	// WeightsMargin is how long before older weights go out of use requests are
+	// sent to newer ones if an engine has them. In the last quarter of it no
+	// request is sent to older ones, since it may wait at the engine.
+	WeightsMargin time.Duration
 	// AnnouncePart announces to the other instances that an endpoint caches a part,
 	// or is prefilling it if ready is false.
 	AnnouncePart func(endpoint *monitor.Monitor, part uint64, tokens int, ready bool)
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,6 +44,9 @@
 	// engine is announced again.
 	maxQueueWait     = 600 * time.Millisecond
 	announceInterval = loadTimeout / 6
+	// updateWeight is the weight of the last update in the moving average of
+	// their times.
+	updateWeight = 0.2
 )
 
 // Errors of an order.
@@ -99,6 +104,8 @@
 
 	held          holder.Value[leaser.Lease]
 	outdatedSince time.Time
+	// retiring means that this instance must not acquire the lease any more.
+	retiring atomic.Bool
 	// acquireAt is when this instance may try to acquire the lease again.
 	acquireAt time.Time
 	// ordering is read-locked while an order is sent, and guards stopped and
@@ -108,6 +115,8 @@
 	lastOrder time.Time
 	mu        sync.Mutex
 	updating  map[uint64]bool
+	// updateMillis is a moving average of the time that an update took.
+	updateMillis float64
 	// retryAt is when an engine that did not report is called again.
 	retryAt map[uint64]time.Time
 }
@@ -126,6 +135,21 @@
 	}
 }
 
+// Retire prevents this instance from acquiring the lease. If it holds it, orders
+// go on.
+func (r *Roller) Retire() { r.retiring.Store(true) }
+
+// Finish waits until the rollout that this instance has begun is complete, but
+// not longer than the pause that another instance would have to keep before it
+// could go on with it.
+func (r *Roller) Finish(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, r.orderPause)
+	defer cancel()
+	for r.held.Load().Valid(r.now()) && len(r.tasks()) > 0 && pacer.Wait(limit, roundInterval) {
+		continue
+	}
+}
+
 // Stop prevents further orders, waits for those being sent, and releases the
 // lease.
 func (r *Roller) Stop(ctx context.Context) {
@@ -155,6 +179,9 @@
 	engines    int
 	outdated   int
 	candidates []OutdatedEngine
+	// olderUntil is when requests must no longer start on the oldest weights in
+	// use.
+	olderUntil time.Time
 }
 
 func (r *Roller) round(ctx context.Context) {
@@ -173,14 +200,18 @@
 	if r.outdatedSince.IsZero() {
 		r.outdatedSince = now
 	}
-	if !r.held.Load().Valid(now.Add(callTimeout/2)) && !r.acquire(ctx) {
+	held := r.held.Load()
+	if r.retiring.Load() && !held.Valid(now) {
+		return
+	}
+	if !held.Valid(now.Add(callTimeout/2)) && !r.acquire(ctx) {
 		return
 	}
 	if since := r.held.Load().PreviousUse; !since.IsZero() && r.now().Before(since.Add(r.orderPause)) {
 		return
 	}
 	for _, t := range tasks {
-		for _, engine := range Plan(t.engines, r.updateCount(), t.candidates) {
+		for _, engine := range Plan(r.rollout(t), r.now()) {
 			r.startUpdate(ctx, engine.Endpoint, t)
 		}
 	}
@@ -198,8 +229,8 @@
 				continue
 			}
 			t.engines++
-			if view.Weights < versions.Newest() {
-				t.outdated++
+			if until, obsolete := versions.UsableUntil(view.Weights); obsolete {
+				t.addOutdated(until)
 			}
 			if view.Weights < versions.Newest() && !r.isUnavailable(endpoint.Key) {
 				t.candidates = append(t.candidates, OutdatedEngine{Endpoint: endpoint, InFlight: view.Load.Requests, Version: view.Weights})
@@ -212,6 +243,14 @@
 	return tasks
 }
 
+// addOutdated counts an engine whose weights may be used until the given time.
+func (t *task) addOutdated(until time.Time) {
+	if t.outdated == 0 || until.Before(t.olderUntil) {
+		t.olderUntil = until
+	}
+	t.outdated++
+}
+
 // acquire acquires or renews the lease if no candidate precedes this instance,
 // and reports whether it holds the lease.
 func (r *Roller) acquire(ctx context.Context) bool {
@@ -243,30 +282,26 @@
 }
 
 // rank returns the number of live candidates that precede this instance in
-// acquiring the lease: the last leader, then the others by name. It is -1 if
-// this instance is no candidate.
+// acquiring the lease: the last leader, then the others in their order. It is -1
+// if this instance is no candidate.
 func (r *Roller) rank() int {
 	leader := r.sharer.Leader()
 	if leader == r.name {
 		return 0
 	}
-	rank, candidate := 0, false
-	for _, name := range r.sharer.Candidates() {
-		candidate = candidate || name == r.name
-		if name == leader || name < r.name {
-			rank++
-		}
-	}
-	if !candidate {
-		return -1
+	candidates := r.sharer.Candidates()
+	rank := slices.Index(candidates, r.name)
+	if rank >= 0 && slices.Index(candidates, leader) > rank {
+		rank++
 	}
 	return rank
 }
 
-func (r *Roller) updateCount() int {
+// rollout returns the state of the rollout that Plan decides on.
+func (r *Roller) rollout(t task) Rollout {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.updating)
+	return Rollout{Engines: t.engines, Updating: len(r.updating), Outdated: t.outdated, Candidates: t.candidates, OlderUntil: t.olderUntil, UpdateMillis: r.updateMillis}
 }
 
 // isUnavailable reports whether an engine is being updated, or is not to be
--- a/roller/update.go
+++ b/roller/update.go
@@ -18,15 +18,26 @@
 	r.updating[endpoint.Key] = true
 	r.mu.Unlock()
 	go func() {
-		defer func() {
-			r.mu.Lock()
-			delete(r.updating, endpoint.Key)
-			r.mu.Unlock()
-		}()
+		startedAt := r.now()
 		r.update(ctx, endpoint, t)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.updating, endpoint.Key)
+		if endpoint.Weights(t.model) >= t.version {
+			r.recordUpdate(float64(r.now().Sub(startedAt).Milliseconds()))
+		}
 	}()
 }
 
+// recordUpdate adds the time that an update took to the moving average. The
+// caller holds the lock.
+func (r *Roller) recordUpdate(millis float64) {
+	if r.updateMillis == 0 {
+		r.updateMillis = millis
+	}
+	r.updateMillis += (millis - r.updateMillis) * updateWeight
+}
+
 // update takes an engine out of service, orders it to load the version and
 // waits until it has it.
 func (r *Roller) update(ctx context.Context, endpoint *monitor.Monitor, t task) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -76,9 +76,9 @@
 	// OrderPauseMillis is the minimum pause between the last order of one lease
 	// holder and the first order of the next.
 	OrderPauseMillis int
-	// WeightsExpiryMillis is how long older weights may be used after a newer
-	// version became known.
-	WeightsExpiryMillis int
+	// WeightsMarginMillis is how long before older weights go out of use newer
+	// ones are used if an engine has them.
+	WeightsMarginMillis int
 	// GraceMillis is the grace period between the stop signal and the kill.
 	GraceMillis int
 }
@@ -143,7 +143,7 @@
 	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, r.informer, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, RetryRule: options.Retries,
-		DataCentre: options.DataCentre, WeightsExpiry: time.Duration(options.WeightsExpiryMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, Count: count, Log: log, Now: time.Now,
+		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
@@ -245,12 +245,14 @@
 	r.sharer.AnnounceLeaving(false)
 	limit, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	go r.roller.Stop(limit)
+	r.roller.Retire()
 	pacer.Wait(limit, min(balancerWait, grace/2))
 	_ = callers.Close() // nothing can be done if closing fails
 	for r.acceptor.CloseIdle() > 0 && pacer.Wait(limit, drainCheckInterval) {
 		continue
 	}
+	r.roller.Finish(limit)
+	r.roller.Stop(limit)
 	r.sharer.AnnounceLeaving(true)
 	time.Sleep(flushDelay)
 	r.log.Info("instance stopped", zap.Int("busy", r.acceptor.Busy()))
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -44,6 +44,8 @@
 	// EmptyStores are the keys of stores that have lost all parts.
 	EmptyStores []uint64
 	Cases       []quarantiner.Case
+	// Versions are the announced versions of weights.
+	Versions []version
 }
 
 // flags are properties of the sender and of the message.
@@ -97,9 +99,22 @@
 	LoadingMillis int
 }
 
+// version announces until when requests may start on older versions of a model.
+type version struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Model    string
+	Number   int
+	// RemainingMillis is the time until then, 0 if it has passed.
+	RemainingMillis int
+}
+
 // maxTokens bounds a count of tokens in a message.
 const maxTokens = 1 << 40
 
+// maxRemainingMillis bounds the time for which older weights may still be used:
+// a day.
+const maxRemainingMillis = 24 * 60 * 60 * 1000
+
 func (m *message) encode() ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
@@ -137,6 +152,11 @@
 			return eris.New("message has a load out of range")
 		}
 	}
+	for _, v := range m.Versions {
+		if v.Model == "" || v.Number <= 0 || v.RemainingMillis < 0 || v.RemainingMillis > maxRemainingMillis {
+			return eris.New("message has a version of weights out of range")
+		}
+	}
 	for _, p := range m.Parts {
 		if p.Tokens < 0 || p.Tokens > maxTokens {
 			return eris.New("message has a part with a token count out of range")
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -7,6 +7,7 @@
 
 	"wisteriadrum/monitor"
 	"wisteriadrum/registrar"
+	"wisteriadrum/versioner"
 )
 
 // Listen receives and applies datagrams until the connection is closed.
@@ -48,6 +49,7 @@
 			endpoint.SetWeights(w.Model, w.Version)
 		}
 	}
+	s.applyVersions(msg.Versions)
 	for _, key := range msg.EmptyStores {
 		if endpoint := fleet.ByKey(key); endpoint != nil {
 			endpoint.ClearParts()
@@ -60,6 +62,14 @@
 	s.forward(msg)
 }
 
+// applyVersions adds announced versions of weights.
+func (s *Sharer) applyVersions(list []version) {
+	for _, v := range list {
+		until := s.registrar.Now().Add(time.Duration(v.RemainingMillis) * time.Millisecond)
+		s.registrar.AddVersion(v.Model, versioner.Version{Number: v.Number, OlderUntil: until})
+	}
+}
+
 // acceptsLoads reports whether the loads of a message are applied here, so
 // that each load is counted once. An instance that reports to a hub accepts
 // those of its hub only; a hub accepts those of the instances that report to it
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -156,15 +156,18 @@
 		toGroup = s.toGroup.take()
 	}
 	heartbeat := scope == everything
+	var versions []version
 	if heartbeat {
 		repeated := events{weights: s.recentVersions()}
 		toHubs.add(repeated)
 		toGroup.add(repeated)
+		versions = s.currentVersions()
 	}
 	endpointLoads := s.endpointLoads()
 	var list []datagram
 	queue := func(msg *message, addresses ...string) {
 		if msg.isDue(scope) {
+			msg.Versions = versions
 			list = append(list, datagram{msg, addresses})
 		}
 	}
@@ -230,6 +233,19 @@
 	return msg
 }
 
+// currentVersions returns the announced versions of weights that an instance needs
+// which has just started.
+func (s *Sharer) currentVersions() []version {
+	var list []version
+	now := s.registrar.Now()
+	for model, versions := range s.registrar.VersionsByModel() {
+		for _, current := range versions.Current(now) {
+			list = append(list, version{Model: model, Number: current.Number, RemainingMillis: int(max(0, current.OlderUntil.Sub(now)).Milliseconds())})
+		}
+	}
+	return list
+}
+
 // recentVersions returns the versions of weights that were recorded within
 // repeatVersionsFor. They are sent again since a message that announced them
 // may have been lost.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -9,8 +9,10 @@
 package sharer
 
 import (
+	"cmp"
 	"net"
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -130,32 +132,48 @@
 // LiveNames returns the sorted names of the live instances from which this one
 // receives messages, and its own.
 func (s *Sharer) LiveNames() []string {
-	return s.names(func(*Peer) bool { return true })
+	live := names(s.livePeers(func(*Peer) bool { return true }))
+	slices.Sort(live)
+	return live
 }
 
-// Candidates returns the sorted names of the instances that may acquire the
-// lease on orders: the hubs that are not about to stop, and this one unless it
-// reports to a hub.
+// Candidates returns the names of the instances that may acquire the lease on
+// orders, in the order in which they do: the hubs that are not about to stop, and
+// this one unless it reports to a hub or stops. Those that started last come
+// first: in a restart of all instances in turn, they are not stopped again.
 func (s *Sharer) Candidates() []string {
-	return s.names(func(peer *Peer) bool { return peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) })
+	candidates := s.livePeers(func(peer *Peer) bool {
+		return !peer.flags.has(flagLeaving) && (peer.flags.has(flagHub) || peer == &s.self && peer.hub == "")
+	})
+	slices.SortFunc(candidates, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.incarnation, a.incarnation), strings.Compare(a.Name, b.Name))
+	})
+	return names(candidates)
 }
 
-// names returns the sorted names of the live peers for which include returns
-// true, and of this instance unless it reports to a hub.
-func (s *Sharer) names(include func(*Peer) bool) []string {
+// livePeers returns this instance and the live peers for which include returns
+// true.
+func (s *Sharer) livePeers(include func(*Peer) bool) []Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var names []string
-	for name, peer := range s.peers {
+	var live []Peer
+	for _, peer := range s.peers {
 		if !s.timedOut(peer) && include(peer) {
-			names = append(names, name)
+			live = append(live, *peer)
 		}
 	}
-	if s.self.hub == "" || include(&s.self) {
-		names = append(names, s.self.Name)
+	if include(&s.self) {
+		live = append(live, s.self)
+	}
+	return live
+}
+
+func names(peers []Peer) []string {
+	list := make([]string, len(peers))
+	for i, peer := range peers {
+		list[i] = peer.Name
 	}
-	sort.Strings(names)
-	return names
+	return list
 }
 
 // LiveCount returns the number of live instances in all data centres.
