Take one retry for a failed answer, not two

Cause: an answer of 500 or above asked the budget when it was read and again before the next attempt, and marked its endpoint as tried twice. Change: reserveRetry takes the retry once; the attempt that follows uses it.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -228,7 +228,7 @@
 	reusable := r.reusable(a, head, response, nil)
 	if head.Status >= 500 && a.request.Repeatable() {
 		a.runs++
-		if r.shouldRetry(ctx, a.exchange, refuser.New(refuser.Rejected, judge.Ran, "")) {
+		if r.reserveRetry(ctx, a.exchange, refuser.New(refuser.Rejected, judge.Ran, "")) {
 			a.runs--
 			return reusable, refuser.New(refuser.Rejected, judge.Ran, "endpoint %s answered %d", a.entry.Name, head.Status)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -177,9 +177,11 @@
 		if cause.Ran != judge.NotRun {
 			e.runs++
 		}
-		if !r.shouldRetry(ctx, e, cause) {
+		if !r.reserveRetry(ctx, e, cause) {
 			return cause.WithVerdict(ran)
 		}
+		e.retryReserved = false
+		e.tried = append(e.tried, e.endpoint)
 		r.logFailedAttempt(e, cause)
 	}
 }
@@ -204,9 +206,9 @@
 	return r.waitForRoom(ctx, e)
 }
 
-// shouldRetry reports whether the request is sent to another endpoint after
-// cause.
-func (r *Relayer) shouldRetry(ctx context.Context, e *exchange, cause *refuser.Refusal) bool {
+// reserveRetry reports whether the request is sent to another endpoint after
+// cause, and takes that retry from the budget unless it was taken already.
+func (r *Relayer) reserveRetry(ctx context.Context, e *exchange, cause *refuser.Refusal) bool {
 	if ctx.Err() != nil || e.answer.Err() != nil {
 		return false
 	}
@@ -220,8 +222,7 @@
 		r.deps.Count.Add("retry", "exhausted")
 		return false
 	}
-	e.retryReserved = false
-	e.tried = append(e.tried, e.endpoint)
+	e.retryReserved = true
 	return true
 }
 
