Tell instances that start which requests crash endpoints

Cause: a crash was announced once. An instance that started later sent the same request to further endpoints. Ruled out: an announcement at the first message of a peer only; it can be lost, and instances that report to a hub are not seen by all. Change: heartbeats repeat some of the known cases; what a receiver knows already is not forwarded. Result: TestCrashesSurviveRestart timed out before and passes.

--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -55,7 +55,9 @@
 			endpoint.ClearParts()
 		}
 	}
-	s.quarantine.Merge(msg.Cases, now)
+	if !s.quarantine.Merge(msg.Cases, now) {
+		msg.Cases = nil // known ones are not forwarded
+	}
 	if s.hasNewerTable(msg) {
 		s.tables.CatchUpFrom(msg.SenderAddress)
 	}
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"wisteriadrum/elector"
 	"wisteriadrum/monitor"
 	"wisteriadrum/pacer"
+	"wisteriadrum/quarantiner"
 )
 
 // scope selects the messages to send.
@@ -158,7 +160,7 @@
 	heartbeat := scope == everything
 	var versions []version
 	if heartbeat {
-		repeated := events{weights: s.recentVersions()}
+		repeated := events{weights: s.recentVersions(), cases: s.recentCases()}
 		toHubs.add(repeated)
 		toGroup.add(repeated)
 		versions = s.currentVersions()
@@ -246,6 +248,14 @@
 	return list
 }
 
+// recentCases returns some of the requests that crashed endpoints. They are sent
+// again for instances that have started since; all are sent in the course of time.
+func (s *Sharer) recentCases() []quarantiner.Case {
+	cases := s.quarantine.Cases(s.now())
+	rand.Shuffle(len(cases), func(i, j int) { cases[i], cases[j] = cases[j], cases[i] })
+	return cases[:min(len(cases), maxCasesPerHeartbeat)]
+}
+
 // recentVersions returns the versions of weights that were recorded within
 // repeatVersionsFor. They are sent again since a message that announced them
 // may have been lost.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -50,6 +50,9 @@
 	// maxPartsPerMessage keeps datagrams small enough to avoid IP
 	// fragmentation.
 	maxPartsPerMessage = 40
+	// maxCasesPerHeartbeat is the number of known crashing requests that a
+	// heartbeat repeats.
+	maxCasesPerHeartbeat = 8
 	// maxDirectInstances is the number of instances up to which each reads the
 	// tables from the store itself, since this causes few calls.
 	maxDirectInstances = 14
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -144,6 +144,20 @@
 	eventually(t, "b has the expired version of a", func() bool { return b.registrar.Versions("n").Required(time.Now()) == 2 })
 }
 
+// An instance that starts must not send a request that crashed endpoints before to
+// the remaining ones.
+func TestCrashesSurviveRestart(t *testing.T) {
+	a := newInstance(t, "a", 1)
+	a.quarantine.RecordCrash(9, quarantiner.Crash{Endpoint: "e"}, time.Now())
+	a.quarantine.RecordCrash(9, quarantiner.Crash{Endpoint: "f"}, time.Now())
+	b := newInstance(t, "b", 1)
+	b.sharer.AddPeers([]sharer.Peer{{Name: "a", Address: a.address}})
+	eventually(t, "b refuses the request", func() bool {
+		suspect, known := b.quarantine.Find(9, time.Now())
+		return known && suspect.Refused()
+	})
+}
+
 // The instances that started last acquire the lease on orders first: a restart in
 // turn does not stop them again soon. One that stops is no candidate.
 func TestOrderOfCandidates(t *testing.T) {
