End calls between instances with their context

Cause: a call opened its connection without regard to its context. Advice for a request (40 ms) and the announcement of a crash (150 ms) could block for the second that opening a connection to a cut-off instance takes. Change: the connection is opened in the background, for the calls that follow.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -150,8 +150,7 @@
 }
 
 // Broadcast sends an urgent change to up to broadcastFanout other instances,
-// which pass it on, and returns within broadcastTimeout unless a connection takes
-// longer to open.
+// which pass it on, and returns within broadcastTimeout.
 func (g *Gossiper) Broadcast() {
 	ctx, cancel := context.WithTimeout(context.Background(), broadcastTimeout)
 	defer cancel()
--- a/gossiper/rpc.go
+++ b/gossiper/rpc.go
@@ -152,12 +152,12 @@
 
 // call calls the instance at address over a persistent connection. The
 // connection is closed after a transport error or when no reply arrives within
-// callTimeout. When ctx ends earlier, the connection stays open, because other
-// calls share it. The opening of a connection is limited by dial, not by ctx.
+// callTimeout. When ctx ends earlier, the connection stays open, or is opened
+// further, because other calls share it.
 func (g *Gossiper) call(ctx context.Context, address, method string, argument, reply any) error {
 	timeout := time.NewTimer(callTimeout)
 	defer timeout.Stop()
-	cached, err := g.client(address)
+	cached, err := g.awaitClient(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -178,6 +178,32 @@
 	}
 }
 
+// awaitClient returns the connection to address, or an error if it is not open
+// when ctx ends.
+func (g *Gossiper) awaitClient(ctx context.Context, address string) (*client, error) {
+	g.mu.Lock()
+	cached := g.clients[address]
+	g.mu.Unlock()
+	if cached != nil {
+		return cached, nil
+	}
+	type result struct {
+		opened *client
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		opened, err := g.client(address)
+		done <- result{opened, err}
+	}()
+	select {
+	case r := <-done:
+		return r.opened, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // client returns the connection to address and opens it if there is none.
 func (g *Gossiper) client(address string) (*client, error) {
 	g.mu.Lock()
