--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/emulator"
+	"wisteriadrum/follower"
 	"wisteriadrum/publisher"
 	"wisteriadrum/tabler"
 )
@@ -21,6 +23,8 @@
 	*emulator.Platform
 	mu            sync.Mutex
 	answersToLose int
+	// onLost is called after an answer was lost.
+	onLost func()
 }
 
 func (t *table) Get(_ context.Context, keys ...string) ([]tabler.Row, error) {
@@ -33,6 +37,11 @@
 	defer t.mu.Unlock()
 	if t.answersToLose > 0 {
 		t.answersToLose--
+		if t.onLost != nil {
+			t.mu.Unlock()
+			t.onLost()
+			t.mu.Lock()
+		}
 		return nil, errors.New("answer lost")
 	}
 	return conflicts, nil
@@ -80,6 +89,23 @@
 	assert.Equal(t, head.Number, uint64(1))
 }
 
+// The same holds if another publisher's configuration follows before the first
+// one finds that its own was committed.
+func TestLostAnswerAndNextPublication(t *testing.T) {
+	shared := &table{Platform: emulator.New(time.Now), answersToLose: 1}
+	shared.onLost = func() {
+		next, err := publisher.New(shared, store{}).Publish(t.Context(), source("two"), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, next.Number, uint64(2))
+	}
+	head, err := publisher.New(shared, store{}).Publish(t.Context(), source("one"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, head.Number, uint64(1))
+	row, err := shared.Get(t.Context(), follower.HeadKey)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(row[0].Value), `"number":2`), "%s", row[0].Value)
+}
+
 func TestFaultySetListsEveryFault(t *testing.T) {
 	_, err := publisher.New(&table{Platform: emulator.New(time.Now)}, store{}).Publish(t.Context(), []byte(`{"pools": [{"name": "UPPER"}], "what": 1}`), nil)
 	assert.ErrorContains(t, err, "pools[0].name")
