Start further rounds only without endpoints, and count probes by themselves

Cause: the attempter began another round over the endpoints after any refusal of the choice, also of a quarantined request. Failed probes counted together with failed requests and were never reset by answered probes, so that rare failures put an engine into backoff. Change: a round follows only if no endpoint is left, as in the streamer; failed probes in succession are counted by themselves.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -69,7 +69,7 @@
 	var cause error // of the last switch to another endpoint
 	for {
 		choice, err := a.picker.Pick(request, tried)
-		if err != nil && len(tried) > 0 && rounds < maxRounds {
+		if err != nil && codeOf(err) == string(refuser.NoEndpoint) && len(tried) > 0 && rounds < maxRounds {
 			rounds++
 			tried = nil
 			a.count.Add("retry", "round")
--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -26,6 +26,7 @@
 	"wisteriadrum/mapper"
 	"wisteriadrum/picker"
 	"wisteriadrum/quarantiner"
+	"wisteriadrum/refuser"
 	"wisteriadrum/resolver"
 )
 
@@ -40,6 +41,17 @@
 	return nil, context.Canceled
 }
 
+// crasher is an endpoint that ends while it runs a request.
+type crasher struct {
+	dialer.Dialer
+	onSend func()
+}
+
+func (c *crasher) Send(caller.Call) (*answerer.Answer, error) {
+	c.onSend()
+	return nil, refuser.New(refuser.UpstreamLost, judge.NotRun, "connection reset")
+}
+
 const config = `{
 	"data_centres": [{"name": "a"}],
 	"pools": [{"name": "office", "kind": "service"}],
@@ -48,28 +60,47 @@
 	"routes": [{"name": "booking", "pool": "office", "prefix": "/book", "once": true}],
 }`
 
-// A process that is suspended between claiming a request and sending it may
-// resume after the claim has expired, when another instance may have run the
-// request. It must not send the request then, and the verdict must be "not run".
-func TestLateClaimIsNotSent(t *testing.T) {
-	now := time.Unix(1000, 0)
-	lateNow := func() time.Time { return now.Add(time.Minute) }
-	count := counter.New(metrics.NewRegistry())
+// newAttempter returns an attempter with one endpoint, and a request for it. The
+// request is claimed at now and sent at sentAt.
+func newAttempter(t *testing.T, dial dialer.Dialer, quarantine *quarantiner.Registry, count *counter.Counter, now, sentAt time.Time) (*attempter.Attempter, *resolver.Request) {
+	t.Helper()
 	board := keeper.New()
 	parsed, err := cataloguer.New([]byte(config))
 	assert.NilError(t, err)
 	source := parsed.Encode()
 	assert.NilError(t, follower.New(board, "me", "a", nil, nil, nil, count, zap.NewNop()).Adopt(1, cataloguer.Digest(source), source))
-
 	table := emulator.New(time.Now).Table()
-	dialed := &endpoint{}
-	cacheMap := mapper.New(1<<16, now)
-	endpoints := picker.New(board, balancer.New(), balancer.New(), nil, nil, cacheMap, quarantiner.New(), count, func() time.Time { return now }, func() {})
+	endpoints := picker.New(board, balancer.New(), balancer.New(), nil, nil, mapper.New(1<<16, now), quarantine, count, func() time.Time { return now }, func() {})
 	claims := claimer.New("me", "", batcher.New(table, count), table, nil, nil, count, func() time.Time { return now })
-	attempts := attempter.New(dialed, endpoints, claims, budgeter.New(budgeter.Default(), lateNow), count, lateNow)
+	sendNow := func() time.Time { return sentAt }
 	request, err := resolver.New(resolver.Input{ID: "r", Method: "POST", Path: "/book", Authorization: "Bearer key-0", IdempotencyKey: "k", Body: []byte("slot"), ReceivedAt: now}, board.Index.Load())
 	assert.NilError(t, err)
-	_, err = attempts.Run(t.Context(), request)
+	return attempter.New(dial, endpoints, claims, budgeter.New(budgeter.Default(), sendNow), count, sendNow), request
+}
+
+// A request that is quarantined after its first attempt is refused at once, not
+// after further rounds over the endpoints.
+func TestQuarantinedRequestGetsNoRound(t *testing.T) {
+	now, quarantine, count := time.Unix(1000, 0), quarantiner.New(), counter.New(metrics.NewRegistry())
+	dialed := &crasher{}
+	attempts, request := newAttempter(t, dialed, quarantine, count, now, now)
+	dialed.onSend = func() {
+		quarantine.RecordCrash(request.Fingerprint, quarantiner.Crash{Endpoint: "s", Incarnation: "1"}, now)
+		quarantine.RecordCrash(request.Fingerprint, quarantiner.Crash{Endpoint: "other", Incarnation: "1"}, now)
+	}
+	_, err := attempts.Run(t.Context(), request)
+	assert.ErrorContains(t, err, "crashed")
+	assert.Equal(t, count.Value("retry", "round"), int64(0))
+}
+
+// A process that is suspended between claiming a request and sending it may
+// resume after the claim has expired, when another instance may have run the
+// request. It must not send the request then, and the verdict must be "not run".
+func TestLateClaimIsNotSent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	dialed := &endpoint{}
+	attempts, request := newAttempter(t, dialed, quarantiner.New(), counter.New(metrics.NewRegistry()), now, now.Add(time.Minute))
+	_, err := attempts.Run(t.Context(), request)
 	assert.Equal(t, judge.FromError(err), judge.NotRun, "%v", err)
 	assert.Equal(t, dialed.calls, 0)
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -22,9 +22,8 @@
 const (
 	probeInterval       = time.Second
 	maxConcurrentProbes = 32
-	// maxFailures is the number of failures, of probes or requests, that are allowed
-	// since the last answered request. A failed probe beyond it puts the endpoint
-	// into backoff.
+	// maxFailures is the number of probes in succession that may fail. A failed
+	// probe beyond it puts the endpoint into backoff.
 	maxFailures = 2
 )
 
@@ -84,11 +83,12 @@
 	report, err := p.dialer.FetchLoad(track.Endpoint.Address)
 	if err != nil {
 		p.count.Add("probe", "failures")
-		if track.RecordFailure() > maxFailures {
+		if track.RecordProbe(false) > maxFailures {
 			track.AvoidUntil(p.now().Add(2 * probeInterval))
 		}
 		return
 	}
 	p.count.Add("probe", "reports")
+	track.RecordProbe(true)
 	track.ApplyReport(report, p.now(), p.newSlot)
 }
--- a/tracker/track.go
+++ b/tracker/track.go
@@ -26,6 +26,7 @@
 	sentBytes    atomic.Int64 // prompt bytes sent since the start
 	backoffUntil atomic.Int64 // Unix time in nanoseconds
 	failures     atomic.Int64 // since the last success
+	failedProbes atomic.Int64 // since the last report
 	stopped      atomic.Bool
 	view         atomic.Pointer[View]
 	viewMu       sync.Mutex // held while view is replaced
@@ -127,6 +128,16 @@
 	t.ApplyReport(report, now, newSlot)
 }
 
+// RecordProbe records whether the endpoint answered a probe, and returns the
+// number of failed probes since it last did.
+func (t *Track) RecordProbe(answered bool) int {
+	if answered {
+		t.failedProbes.Store(0)
+		return 0
+	}
+	return int(t.failedProbes.Add(1))
+}
+
 // AvoidUntil keeps the endpoint in backoff until the given time.
 func (t *Track) AvoidUntil(until time.Time) { t.backoffUntil.Store(until.UnixNano()) }
 
