Bound ages in the cache map, and survive a clock that jumps back

Cause: ages in the cache map wrap after 109 minutes, when old holders look fresh again. The retry budget took the step from a clock that may jump back: a step before the start was an index out of range. The hash of stops was sent and never read. Change: old holders are removed every ten minutes; the step never goes back; the field is gone.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -33,6 +33,7 @@
 	mu            sync.Mutex
 	instanceShare float64
 	slots         [windowSteps]slot
+	lastStep      int64
 }
 
 // slot counts the requests and retries of one step of the window.
@@ -92,7 +93,9 @@
 // currentSlot returns the slot of the current step, reset if it is from an earlier window.
 func (b *Budget) currentSlot() *slot {
 	stepMillis := int64(b.rule.WindowMillis) / windowSteps
-	step := b.now().Sub(b.start).Milliseconds()/stepMillis + 1 // by the monotonic clock, since the wall clock may jump
+	step := b.now().Sub(b.start).Milliseconds()/stepMillis + 1
+	step = max(step, b.lastStep) // a clock that jumps back must not bring back retries
+	b.lastStep = step
 	current := &b.slots[step%windowSteps]
 	if current.step != step {
 		*current = slot{step: step}
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -82,3 +82,15 @@
 	}
 	assert.Equal(t, retries, int(rule.ExtraRetries))
 }
+
+// A clock that jumps back must not bring back the retries that were taken.
+func TestClockJumpsBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budget := budgeter.New(budgeter.Rule{ExtraRetries: 1, WindowMillis: 10000}, func() time.Time { return now })
+	now = now.Add(time.Minute)
+	assert.Assert(t, budget.TryRetry())
+	now = now.Add(-time.Hour)
+	assert.Assert(t, !budget.TryRetry())
+	now = now.Add(time.Hour + 11*time.Second)
+	assert.Assert(t, budget.TryRetry())
+}
--- a/gossiper/digest.go
+++ b/gossiper/digest.go
@@ -20,7 +20,7 @@
 	digest.Members, digest.Beats = g.sampleMembers(now)
 	g.mu.Unlock()
 	stops := g.board.Stops.Load()
-	digest.StopsHash, digest.Stops = stops.Hash(), stops.List()
+	digest.Stops = stops.List()
 	digest.Cases = g.quarantine.Cases(now)
 	if index := g.board.Index.Load(); index != nil {
 		digest.Set = index.Digest
--- a/instance.go
+++ b/instance.go
@@ -55,12 +55,15 @@
 	dialTimeout = time.Second
 	// unreadyDelay is the time for which a stopping instance still accepts
 	// requests, so that the load balancer can observe that it is not ready.
-	unreadyDelay       = 2 * time.Second
-	drainTimeout       = 10 * time.Minute
-	flushTimeout       = 5 * time.Second
-	abortTimeout       = time.Second
-	shareInterval      = time.Second
-	storeStopsInterval = 5 * time.Second
+	unreadyDelay = 2 * time.Second
+	drainTimeout = 10 * time.Minute
+	// cacheMapExpiryInterval is the mean interval at which old entries of the cache
+	// map are removed.
+	cacheMapExpiryInterval = 10 * time.Minute
+	flushTimeout           = 5 * time.Second
+	abortTimeout           = time.Second
+	shareInterval          = time.Second
+	storeStopsInterval     = 5 * time.Second
 )
 
 // Instance is one process of the router.
@@ -78,6 +81,7 @@
 	probe    *prober.Prober
 	tail     *tailer.Tailer
 	deploy   *deployer.Deployer
+	cacheMap *mapper.Map
 	decide   *decider.Decider
 	server   *server.Server
 	operator *fasthttp.Server
@@ -103,6 +107,7 @@
 	table := tabler.New(fetcher.New(settings.TableAddress, dial))
 	store := storer.New(fetcher.New(settings.ObjectStoreAddress, dial))
 	cacheMap := mapper.New(settings.CacheMapBytes, now())
+	i.cacheMap = cacheMap
 	quarantine := quarantiner.New()
 	endpointDialer := dialer.New(dial, now)
 	member := messenger.Member{Name: settings.Name, DataCentre: settings.DataCentre, Peer: settings.PeerAddress, Boot: now().UTC()}
@@ -153,6 +158,7 @@
 	go i.tail.Run(background)
 	go i.deploy.Run(background)
 	go i.shareLimits(background)
+	go pacer.Repeat(background, cacheMapExpiryInterval, func(context.Context) { i.cacheMap.Expire(time.Now()) })
 	go i.storeStops(background)
 	i.log.Info("instance serving", zap.String("name", i.settings.Name), zap.String("caller", listeners.caller.Addr().String()))
 	select {
--- a/mapper/map.go
+++ b/mapper/map.go
@@ -16,6 +16,9 @@
 	tick             = 100 * time.Millisecond // resolution of ages
 	entryBytes       = 8 + 4*holdersPerEntry
 	minBuckets       = 1 << 8
+	// maxAgeTicks is the age above which Expire removes holders: half of the range
+	// of ages, in ticks.
+	maxAgeTicks = 1 << 15
 	// coverageWeight is the weight of one event in the moving average.
 	coverageWeight = 0.002
 )
@@ -122,6 +125,28 @@
 	return list
 }
 
+// Expire removes the holders that were last added more than half of the range of
+// ages before now. Their ages would start at 0 again after the whole range, of 109
+// minutes, so it must be called more often than every 54 minutes.
+func (m *Map) Expire(now time.Time) {
+	nowTicks := m.ticks(now)
+	for b := range m.buckets {
+		for e := range m.buckets[b] {
+			m.buckets[b][e].expire(nowTicks)
+		}
+	}
+}
+
+// expire removes the holders whose age is above maxAgeTicks.
+func (e *entry) expire(nowTicks uint16) {
+	for i := range e.holders {
+		packed := e.holders[i].Load()
+		if packed != 0 && nowTicks-uint16(packed) > maxAgeTicks {
+			e.holders[i].CompareAndSwap(packed, 0)
+		}
+	}
+}
+
 // Coverage returns a moving average of the share of the engines' cache events
 // that arrive, or 0 before the first event.
 func (m *Map) Coverage() float64 { return math.Float64frombits(m.coverage.Load()) }
--- a/messenger/digest.go
+++ b/messenger/digest.go
@@ -32,11 +32,9 @@
 	Beats []byte
 	// Set is the digest of the configuration From.Number.
 	Set string
-	// Stops are the planned stops. StopsHash is their hash; receivers do not use
-	// it.
-	StopsHash uint64
-	Stops     []stopper.Stop
-	Cases     []quarantiner.Case
+	// Stops are the planned stops.
+	Stops []stopper.Stop
+	Cases []quarantiner.Case
 	// Loads are load reports for the endpoints of configuration From.Number,
 	// encoded by package packer.
 	Loads []byte
