Give failures of the platform a code of their own

Cause: the fetcher reported each failure of the platform, also of a read, as claim-failed. Change: platform-failed; claims that fail keep their code. Result: go vet, go test of the packages that use it.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -58,7 +58,7 @@
 	case fasthttp.StatusNotFound:
 		return nil, eris.Wrapf(ErrNotFound, "%s %s", method, path)
 	default:
-		return nil, refuser.New(refuser.ClaimFailed, judge.MayHaveRun, "platform answered %d to %s %s", status, method, path)
+		return nil, refuser.New(refuser.PlatformFailed, judge.MayHaveRun, "platform answered %d to %s %s", status, method, path)
 	}
 }
 
@@ -89,5 +89,5 @@
 	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &op) && op.Op == "dial" {
 		verdict = judge.NotRun
 	}
-	return refuser.New(refuser.ClaimFailed, verdict, "platform at %s: %s", f.address, fmt.Sprint(err))
+	return refuser.New(refuser.PlatformFailed, verdict, "platform at %s: %s", f.address, fmt.Sprint(err))
 }
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -29,6 +29,7 @@
 	KeyReused       Code = "key-reused"
 	InDoubt         Code = "in-doubt"
 	ClaimFailed     Code = "claim-failed"
+	PlatformFailed  Code = "platform-failed"
 	UpstreamLost    Code = "upstream-lost"
 	UpstreamBusy    Code = "upstream-busy"
 	WrongWeights    Code = "wrong-weights"
@@ -46,7 +47,7 @@
 	BadRequest: 400, Unauthorized: 401, Forbidden: 403, NoRoute: 404,
 	TooLarge: 413, TooDeep: 413, RateLimited: 429, Overloaded: 503,
 	NoEndpoint: 503, NoConfiguration: 503, Stopping: 503, Quarantined: 422,
-	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503,
+	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503, PlatformFailed: 503,
 	UpstreamLost: 502, UpstreamBusy: 503, WrongWeights: 503,
 	AnswerMismatch: 502, AnswerLost: 502, Timeout: 504, Silent: 504, CallerGone: 499,
 	Rejected: 400, SlowRequest: 408, Internal: 500,
