Give the lease on orders to the instance that started last

Cause: each instance counted its wait for the lease from the first outdated engine, so that after a while all of them tried at once, in no order, and the lease went to instances that were about to be stopped. Ruled out: the order of candidates itself; it was right at all instances. Change: the wait counts from when no other instance leads the rollout.

--- a/roller/roller.go
+++ b/roller/roller.go
@@ -102,8 +102,10 @@
 	log        *zap.Logger
 	now        func() time.Time
 
-	held          holder.Value[leaser.Lease]
-	outdatedSince time.Time
+	held holder.Value[leaser.Lease]
+	// vacantSince is when there were outdated engines and no other instance that
+	// led their rollout, zero if there are none.
+	vacantSince time.Time
 	// retiring means that this instance must not acquire the lease any more.
 	retiring atomic.Bool
 	// acquireAt is when this instance may try to acquire the lease again.
@@ -191,14 +193,14 @@
 	tasks := r.tasks()
 	now := r.now()
 	if len(tasks) == 0 {
-		r.outdatedSince = time.Time{}
+		r.vacantSince = time.Time{}
 		if !r.held.Load().Valid(now) {
 			r.sharer.SetLeading(false)
 		}
 		return
 	}
-	if r.outdatedSince.IsZero() {
-		r.outdatedSince = now
+	if r.vacantSince.IsZero() || r.sharer.OtherLeads() {
+		r.vacantSince = now
 	}
 	held := r.held.Load()
 	if r.retiring.Load() && !held.Valid(now) {
@@ -255,7 +257,7 @@
 // and reports whether it holds the lease.
 func (r *Roller) acquire(ctx context.Context) bool {
 	rank := r.rank()
-	if rank < 0 || r.now().Before(r.outdatedSince.Add(time.Duration(rank)*candidateDelay)) || r.now().Before(r.acquireAt) {
+	if rank < 0 || r.now().Before(r.vacantSince.Add(time.Duration(rank)*candidateDelay)) || r.now().Before(r.acquireAt) {
 		return false
 	}
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -122,6 +122,49 @@
 type lossyConn struct{ net.PacketConn }
 
 func (lossyConn) WriteTo(data []byte, _ net.Addr) (int, error) { return len(data), nil }
+func (lossyConn) LocalAddr() net.Addr                          { return &net.UDPAddr{IP: net.IPv4(10, 0, 0, 9), Port: 1} }
+
+// packetNetwork delivers datagrams in memory.
+type packetNetwork struct {
+	mu    sync.Mutex
+	conns map[string]*memoryConn
+}
+
+// memoryConn is a connection to a packetNetwork.
+type memoryConn struct {
+	net.PacketConn
+	network *packetNetwork
+	address *net.UDPAddr
+	packets chan []byte
+}
+
+// listen returns a connection that receives the datagrams to the given port.
+func (n *packetNetwork) listen(port int) *memoryConn {
+	conn := &memoryConn{network: n, address: &net.UDPAddr{IP: net.IPv4(10, 0, 0, 9), Port: port}, packets: make(chan []byte, 1000)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[conn.address.String()] = conn
+	return conn
+}
+
+func (c *memoryConn) LocalAddr() net.Addr { return c.address }
+
+func (c *memoryConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	if target := c.network.conns[to.String()]; target != nil {
+		target.packets <- append([]byte(nil), data...)
+	}
+	return len(data), nil
+}
+
+func (c *memoryConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	data, open := <-c.packets
+	if !open {
+		return 0, nil, net.ErrClosed
+	}
+	return copy(buffer, data), c.address, nil
+}
 
 // announced returns a version announced now, with ample time until older ones go
 // out of use.
@@ -132,7 +175,14 @@
 // instance starts a roller for the engines, with its lease in the table.
 func instance(ctx context.Context, t *testing.T, name string, engines *fleet, table tabler.Table) (*roller.Roller, *registrar.Registrar) {
 	t.Helper()
-	count := counter.New(metrics.NewRegistry())
+	state := newState()
+	r, _ := newRoller(name, 1, lossyConn{}, state, engines, table)
+	go r.Run(ctx)
+	return r, state
+}
+
+// newState returns a registrar with all engines at version 1.
+func newState() *registrar.Registrar {
 	state := registrar.New(time.Now)
 	state.PutTable(router.New(1, nil, []router.Pool{{Name: "p", Engine: &router.Engine{Slots: 8, CapacityTokens: 1000}}}, nil, nil, router.Limits{}))
 	var entries []monitor.Entry
@@ -140,11 +190,16 @@
 		entries = append(entries, monitor.Entry{Name: fmt.Sprintf("e%d", i), Address: "10.0.0.1:80", Pool: "p", Weights: map[string]int{"m": 1}})
 	}
 	state.PutEndpoints(entries, nil, time.Now(), time.Now())
-	stateSharer := sharer.New(sharer.Peer{Name: name, Address: "10.0.0.9:1"}, 1, lossyConn{}, state, quarantiner.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
+	return state
+}
+
+// newRoller returns a roller with its lease in the table, and its sharer.
+func newRoller(name string, incarnation int64, conn net.PacketConn, state *registrar.Registrar, engines *fleet, table tabler.Table) (*roller.Roller, *sharer.Sharer) {
+	count := counter.New(metrics.NewRegistry())
+	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
+	stateSharer := sharer.New(self, incarnation, conn, state, quarantiner.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
 	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now)
-	r := roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now)
-	go r.Run(ctx)
-	return r, state
+	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
 
 // Guards against a rollout that takes too many engines out of service at once,
@@ -193,6 +248,60 @@
 	})
 }
 
+// Guards against a lease that goes to any of the instances when its holder stops:
+// it must go to the one that started last, since a restart in turn would stop the
+// others soon, and each handover costs a pause.
+func TestSuccessorStartedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		engines, table := newFleet(), emulator.New(time.Now).Table()
+		engines.loadTime = 20 * time.Millisecond
+		network := &packetNetwork{conns: map[string]*memoryConn{}}
+		names := []string{"a", "b", "c", "d", "e"}
+		var rollers []*roller.Roller
+		var sharers []*sharer.Sharer
+		var states []*registrar.Registrar
+		for i, name := range names {
+			conn := network.listen(i + 1)
+			state := newState()
+			roll, share := newRoller(name, int64(i+1), conn, state, engines, table)
+			for j, peer := range names {
+				share.AddPeers([]sharer.Peer{{Name: peer, DataCentre: peer, Address: fmt.Sprintf("10.0.0.9:%d", j+1)}})
+			}
+			go func() { _ = share.Listen() }()
+			go share.Run(ctx)
+			go roll.Run(ctx)
+			rollers, sharers, states = append(rollers, roll), append(sharers, share), append(states, state)
+		}
+		time.Sleep(2 * time.Second) // until they have received each other's messages
+		go func() {                 // keeps the engines outdated
+			for version := 2; ctx.Err() == nil; version++ {
+				for _, state := range states {
+					state.AddVersion("m", announced(version))
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		for last := len(names) - 1; last > 1; last-- {
+			time.Sleep(8 * time.Second)
+			engines.mu.Lock()
+			holder := engines.orders[len(engines.orders)-1].holder
+			engines.mu.Unlock()
+			assert.Equal(t, holder, names[last])
+			sharers[last].AnnounceLeaving(false)
+			rollers[last].Retire()
+			time.Sleep(2 * time.Second) // the holder goes on until its requests have ended
+			rollers[last].Stop(ctx)
+			sharers[last].AnnounceLeaving(true)
+		}
+		cancel()
+		for _, conn := range network.conns {
+			close(conn.packets)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // slowTable is a table that delays each call.
 type slowTable struct{ tabler.Table }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -245,6 +245,18 @@
 	return s.leader
 }
 
+// OtherLeads reports whether another live instance holds the lease on orders.
+func (s *Sharer) OtherLeads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, peer := range s.peers {
+		if peer.flags.has(flagLeader) && !s.timedOut(peer) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetLeading sets whether this instance holds the lease on orders.
 func (s *Sharer) SetLeading(leading bool) {
 	s.mu.Lock()
