Forward each announcement of weights once

Cause: heartbeats repeat the weights recorded lately, and a hub forwarded all weights that it received, at once, to its instances and to the other hubs. Change: only what changed something is forwarded. One reading of the clock serves a pass over the peers; the sizes of the fleet are computed once for all messages; an instance that reports to a hub sums its own loads only.

--- a/monitor/load.go
+++ b/monitor/load.go
@@ -17,6 +17,11 @@
 	return Load{Requests: l.Requests + other.Requests, PrefillTokens: l.PrefillTokens + other.PrefillTokens, KVTokens: l.KVTokens + other.KVTokens}
 }
 
+// Sub returns l without other.
+func (l Load) Sub(other Load) Load {
+	return Load{Requests: l.Requests - other.Requests, PrefillTokens: l.PrefillTokens - other.PrefillTokens, KVTokens: l.KVTokens - other.KVTokens}
+}
+
 // peerLoad is the load that another instance reported.
 type peerLoad struct {
 	load      Load
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -92,6 +92,13 @@
 	return m.entry
 }
 
+// DataCentre returns the endpoint's data centre.
+func (m *Monitor) DataCentre() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry.DataCentre
+}
+
 // RecordReceived records that the endpoint sent data at now.
 func (m *Monitor) RecordReceived(now time.Time) {
 	m.mu.Lock()
@@ -177,21 +184,23 @@
 	return !m.leavingUntil.IsZero() && !now.Before(m.leavingUntil)
 }
 
-// SetWeights records the version of a model that the endpoint serves.
-func (m *Monitor) SetWeights(model string, version int) {
+// SetWeights records the version of a model that the endpoint serves, and reports
+// whether it is newer than the recorded one.
+func (m *Monitor) SetWeights(model string, version int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.setWeights(model, version)
+	return m.setWeights(model, version)
 }
 
 // setWeights keeps the highest version, since versions only increase.
-func (m *Monitor) setWeights(model string, version int) {
+func (m *Monitor) setWeights(model string, version int) bool {
 	if version <= m.weights[model] {
-		return
+		return false
 	}
 	m.weights[model] = version
 	m.weightsKnownAt[model] = time.Now()
 	m.loadingUntil = time.Time{}
+	return true
 }
 
 // WeightsAfter returns the version of model if it became known after the given
--- a/sharer/loads.go
+++ b/sharer/loads.go
@@ -1,30 +1,44 @@
 package sharer
 
-import "wisteriadrum/monitor"
+import (
+	"time"
+
+	"wisteriadrum/monitor"
+)
 
 // endpointLoad is the load on one endpoint by the name of the instance that
-// causes it.
+// causes it, and their sum.
 type endpointLoad struct {
 	key        uint64
 	dataCentre string
 	byInstance map[string]monitor.Load
+	total      monitor.Load
 }
 
 type endpointLoads []endpointLoad
 
-// endpointLoads returns the load on all endpoints, as measured by this instance
-// and as received from others.
-func (s *Sharer) endpointLoads() endpointLoads {
+// endpointLoads returns the loads on the endpoints that this instance sends: its
+// own, and those received from others unless it reports to a hub.
+func (s *Sharer) endpointLoads(now time.Time) endpointLoads {
 	var list endpointLoads
-	now := s.now()
-	for _, endpoint := range s.endpoints() {
-		byInstance := endpoint.PeerLoads(now)
-		if own := endpoint.OwnLoad(); own != (monitor.Load{}) {
+	reports := s.peers[s.self.hub] != nil
+	for endpoint := range s.endpoints() {
+		own := endpoint.OwnLoad()
+		byInstance := map[string]monitor.Load{}
+		if !reports {
+			byInstance = endpoint.PeerLoads(now)
+		}
+		if own != (monitor.Load{}) {
 			byInstance[s.self.Name] = own
 		}
-		if len(byInstance) > 0 {
-			list = append(list, endpointLoad{key: endpoint.Key, dataCentre: endpoint.Entry().DataCentre, byInstance: byInstance})
+		if len(byInstance) == 0 {
+			continue
+		}
+		total := monitor.Load{}
+		for _, load := range byInstance {
+			total = total.Add(load)
 		}
+		list = append(list, endpointLoad{key: endpoint.Key, dataCentre: endpoint.DataCentre(), byInstance: byInstance, total: total})
 	}
 	return list
 }
@@ -47,13 +61,7 @@
 func (e endpointLoads) sumExcept(name string) []load {
 	var loads []load
 	for _, endpoint := range e {
-		sum := monitor.Load{}
-		for instance, load := range endpoint.byInstance {
-			if instance != name {
-				sum = sum.Add(load)
-			}
-		}
-		loads = appendNonZero(loads, endpoint.key, sum)
+		loads = appendNonZero(loads, endpoint.key, endpoint.total.Sub(endpoint.byInstance[name]))
 	}
 	return loads
 }
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -42,13 +42,7 @@
 			endpoint.AddPart(p.Part, p.Tokens, !p.Pending)
 		}
 	}
-	for _, w := range msg.Weights {
-		if endpoint := fleet.ByKey(w.Key); endpoint != nil && w.LoadingMillis > 0 {
-			endpoint.MarkLoading(now.Add(time.Duration(w.LoadingMillis) * time.Millisecond))
-		} else if endpoint != nil {
-			endpoint.SetWeights(w.Model, w.Version)
-		}
-	}
+	msg.Weights = applyWeights(msg.Weights, fleet, now)
 	s.applyVersions(msg.Versions)
 	for _, key := range msg.EmptyStores {
 		if endpoint := fleet.ByKey(key); endpoint != nil {
@@ -64,6 +58,29 @@
 	s.forward(msg)
 }
 
+// applyWeights applies announcements of weights and returns those that changed
+// something. Heartbeats repeat announcements; if each instance forwarded all that it
+// receives, the number of messages would grow with the square of their number.
+func applyWeights(list []weights, fleet *registrar.Fleet, now time.Time) []weights {
+	var changes []weights
+	for _, w := range list {
+		endpoint := fleet.ByKey(w.Key)
+		if endpoint == nil {
+			continue
+		}
+		changed := w.LoadingMillis > 0
+		if changed {
+			endpoint.MarkLoading(now.Add(time.Duration(w.LoadingMillis) * time.Millisecond))
+		} else {
+			changed = endpoint.SetWeights(w.Model, w.Version)
+		}
+		if changed {
+			changes = append(changes, w)
+		}
+	}
+	return changes
+}
+
 // applyVersions adds announced versions of weights.
 func (s *Sharer) applyVersions(list []version) {
 	for _, v := range list {
@@ -95,8 +112,8 @@
 			endpoint.SetPeerLoad(msg.Name, l.load(), now)
 		}
 	}
-	for _, endpoint := range s.endpoints() {
-		if listed[endpoint.Key] || msg.Flags.has(flagLocalOnly) && endpoint.Entry().DataCentre != msg.SenderDataCentre {
+	for endpoint := range s.endpoints() {
+		if listed[endpoint.Key] || msg.Flags.has(flagLocalOnly) && endpoint.DataCentre() != msg.SenderDataCentre {
 			continue
 		}
 		endpoint.SetPeerLoad(msg.Name, monitor.Load{}, now)
@@ -151,10 +168,10 @@
 	peer := s.peers[msg.Name]
 	// After a timeout any incarnation is accepted, since incarnations are
 	// numbered by the wall clock, which may have jumped.
-	if peer != nil && !s.timedOut(peer) && (msg.Incarnation < peer.incarnation || msg.Incarnation == peer.incarnation && msg.Seq <= peer.seq) {
+	if peer != nil && !peer.timedOut(now) && (msg.Incarnation < peer.incarnation || msg.Incarnation == peer.incarnation && msg.Seq <= peer.seq) {
 		return false
 	}
-	if peer == nil || s.timedOut(peer) {
+	if peer == nil || peer.timedOut(now) {
 		s.log.Info("peer is up", zap.String("peer", msg.Name), zap.String("address", msg.SenderAddress))
 	}
 	s.peers[msg.Name] = &Peer{
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"maps"
+	"iter"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,7 +72,7 @@
 	if hub {
 		bestHub, s.tableSource = "", first.Name
 	}
-	if s.tableSource == s.self.Name || s.liveCount() <= maxDirectInstances {
+	if _, total := s.sizes(s.now()); s.tableSource == s.self.Name || total <= maxDirectInstances {
 		s.tableSource = ""
 	}
 	s.setRole(hub, bestHub)
@@ -83,8 +82,9 @@
 // to stop.
 func (s *Sharer) otherHubs() []*Peer {
 	var otherHubs []*Peer
+	now := s.now()
 	for _, peer := range s.peers {
-		if !s.timedOut(peer) && peer.DataCentre == s.self.DataCentre && peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) {
+		if !peer.timedOut(now) && peer.DataCentre == s.self.DataCentre && peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) {
 			otherHubs = append(otherHubs, peer)
 		}
 	}
@@ -103,16 +103,27 @@
 	s.self.hub = newHub
 	// The loads of the peers are received again through other senders, and must
 	// not be counted twice.
-	for _, endpoint := range s.endpoints() {
+	for endpoint := range s.endpoints() {
 		endpoint.ClearPeerLoads()
 	}
 	s.log.Info("hub role changed", zap.Bool("hub", hub), zap.String("reports", newHub))
 }
 
-// endpoints returns the monitors of the endpoints and stores.
-func (s *Sharer) endpoints() []*monitor.Monitor {
+// endpoints iterates over the monitors of the endpoints and stores.
+func (s *Sharer) endpoints() iter.Seq[*monitor.Monitor] {
 	fleet := s.registrar.Fleet()
-	return append(slices.Collect(maps.Values(fleet.All())), fleet.Stores()...)
+	return func(yield func(*monitor.Monitor) bool) {
+		for _, endpoint := range fleet.All() {
+			if !yield(endpoint) {
+				return
+			}
+		}
+		for _, store := range fleet.Stores() {
+			if !yield(store) {
+				return
+			}
+		}
+	}
 }
 
 // sendDue sends the messages within the scope and returns the size of the
@@ -165,11 +176,13 @@
 		toGroup.add(repeated)
 		versions = s.currentVersions()
 	}
-	endpointLoads := s.endpointLoads()
+	now := s.now()
+	groupSize, totalSize := s.sizes(now)
+	endpointLoads := s.endpointLoads(now)
 	var list []datagram
 	queue := func(msg *message, addresses ...string) {
 		if msg.isDue(scope) {
-			msg.Versions = versions
+			msg.Versions, msg.GroupSize, msg.TotalSize = versions, groupSize, totalSize
 			list = append(list, datagram{msg, addresses})
 		}
 	}
@@ -179,11 +192,11 @@
 	}
 	group := []string{s.self.Name}
 	for name, peer := range s.peers {
-		if s.reportsHere(peer) {
+		if s.reportsHere(peer, now) {
 			group = append(group, name)
 		}
 	}
-	queue(s.message(endpointLoads.sumOf(group...), toHubs), s.remoteAddresses(heartbeat)...)
+	queue(s.message(endpointLoads.sumOf(group...), toHubs), s.remoteAddresses(heartbeat, now)...)
 	localOnly := len(endpointLoads) > maxGlobalEndpoints && !heartbeat
 	if localOnly {
 		endpointLoads = endpointLoads.inDataCentre(s.self.DataCentre)
@@ -202,10 +215,10 @@
 // to this instance. Heartbeats go also to peers that timed out or never sent a
 // message, since they may not have discovered any instance: those in this data
 // centre and in data centres without a live hub.
-func (s *Sharer) remoteAddresses(heartbeat bool) []string {
+func (s *Sharer) remoteAddresses(heartbeat bool, now time.Time) []string {
 	hasHub := map[string]bool{}
 	for _, peer := range s.peers {
-		if !s.timedOut(peer) && peer.flags.has(flagHub) {
+		if !peer.timedOut(now) && peer.flags.has(flagHub) {
 			hasHub[peer.DataCentre] = true
 		}
 	}
@@ -213,9 +226,9 @@
 	var addresses []string
 	for _, peer := range s.peers {
 		switch {
-		case !s.timedOut(peer) && !s.reportsHere(peer):
+		case !peer.timedOut(now) && !s.reportsHere(peer, now):
 			addresses = append(addresses, peer.Address)
-		case s.timedOut(peer) && heartbeat && !hasHub[peer.DataCentre] && (peer.timeoutAt.IsZero() || s.now().Before(peer.timeoutAt.Add(forgetPeerAfter))):
+		case peer.timedOut(now) && heartbeat && !hasHub[peer.DataCentre] && (peer.timeoutAt.IsZero() || now.Before(peer.timeoutAt.Add(forgetPeerAfter))):
 			addresses = append(addresses, peer.Address)
 		}
 	}
@@ -226,7 +239,7 @@
 func (s *Sharer) message(loads []load, queued events) *message {
 	msg := &message{
 		Name: s.self.Name, SenderDataCentre: s.self.DataCentre, SenderAddress: s.self.Address, Rate: s.self.Rate, Incarnation: s.self.incarnation, Seq: s.seq, Tables: s.tables.Versions(),
-		Flags: s.self.flags, Hub: s.self.hub, GroupSize: s.groupSize(), TotalSize: s.liveCount(),
+		Flags: s.self.flags, Hub: s.self.hub,
 		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases,
 	}
 	if table := s.registrar.Table(); table != nil {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -122,15 +122,16 @@
 func (s *Sharer) AddPeers(peers []Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
 	for _, peer := range peers {
-		if known := s.peers[peer.Name]; peer.Name != s.self.Name && (known == nil || known.Address != peer.Address && s.timedOut(known)) {
+		if known := s.peers[peer.Name]; peer.Name != s.self.Name && (known == nil || known.Address != peer.Address && known.timedOut(now)) {
 			added := peer
 			s.peers[peer.Name] = &added
 		}
 	}
 }
 
-func (s *Sharer) timedOut(peer *Peer) bool { return !s.now().Before(peer.timeoutAt) }
+func (p *Peer) timedOut(now time.Time) bool { return !now.Before(p.timeoutAt) }
 
 // LiveNames returns the sorted names of the live instances from which this one
 // receives messages, and its own.
@@ -160,8 +161,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live []Peer
+	now := s.now()
 	for _, peer := range s.peers {
-		if !s.timedOut(peer) && include(peer) {
+		if !peer.timedOut(now) && include(peer) {
 			live = append(live, *peer)
 		}
 	}
@@ -183,37 +185,33 @@
 func (s *Sharer) LiveCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.liveCount()
+	_, total := s.sizes(s.now())
+	return total
 }
 
-func (s *Sharer) liveCount() int {
+// sizes returns the number of instances of which this one sends the loads, itself
+// included, and the number of live instances in all data centres.
+func (s *Sharer) sizes(now time.Time) (group, total int) {
 	if hub := s.peers[s.self.hub]; hub != nil {
-		return max(1, hub.totalSize)
+		return 1, max(1, hub.totalSize)
 	}
-	liveCount := s.groupSize()
+	group = 1
+	others := 0
 	for _, peer := range s.peers {
-		if !s.timedOut(peer) && peer.flags.has(flagHub) {
-			liveCount += max(1, peer.groupSize)
+		switch {
+		case peer.timedOut(now):
+		case peer.hub == s.self.Name:
+			group++
+		case peer.flags.has(flagHub):
+			others += max(1, peer.groupSize)
 		}
 	}
-	return liveCount
-}
-
-// groupSize returns the number of instances that report to this one, itself
-// included.
-func (s *Sharer) groupSize() int {
-	groupSize := 1
-	for _, peer := range s.peers {
-		if s.reportsHere(peer) {
-			groupSize++
-		}
-	}
-	return groupSize
+	return group, group + others
 }
 
 // reportsHere reports whether a peer is live and reports to this instance.
-func (s *Sharer) reportsHere(peer *Peer) bool {
-	return !s.timedOut(peer) && peer.hub == s.self.Name
+func (s *Sharer) reportsHere(peer *Peer, now time.Time) bool {
+	return !peer.timedOut(now) && peer.hub == s.self.Name
 }
 
 // TableSource returns the address of the instance from which this one receives
@@ -249,8 +247,9 @@
 func (s *Sharer) OtherLeads() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
 	for _, peer := range s.peers {
-		if peer.flags.has(flagLeader) && !s.timedOut(peer) {
+		if peer.flags.has(flagLeader) && !peer.timedOut(now) {
 			return true
 		}
 	}
