Count the datagrams from the first announcement on

Cause: TestAnnouncementsAreForwardedOnce passed without the guard: it reset its count after the announcements, and no version was announced, so that heartbeats repeated nothing. Change: both. Result: without the guard 17,140 datagrams for 20 announcements to 60 instances, at most 2,400 allowed; passes with it.

--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -19,6 +19,7 @@
 	"wisteriadrum/registrar"
 	"wisteriadrum/router"
 	"wisteriadrum/sharer"
+	"wisteriadrum/versioner"
 )
 
 // packetNetwork delivers datagrams in memory and counts them.
@@ -94,6 +95,7 @@
 		state := registrar.New(time.Now)
 		state.PutTable(router.New(1, nil, []router.Pool{{Name: "p", Engine: &router.Engine{CapacityTokens: 100000}}}, nil, nil, router.Limits{}))
 		state.PutEndpoints(entries, nil, time.Now(), time.Now())
+		state.AddVersion("m", versioner.Version{Number: 2, OlderUntil: time.Now().Add(time.Minute)})
 		share := sharer.New(peer, 1, conn, state, quarantiner.New(), &tables{}, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
 		f.states, f.sharers, peers = append(f.states, state), append(f.sharers, share), append(peers, peer)
 	}
@@ -139,10 +141,13 @@
 		defer f.end()
 		time.Sleep(10 * time.Second) // until the hubs are decided on
 		atRest, _ := f.count(4 * time.Second)
-		for e := range announcements {
-			f.engine(0, e).SetWeights("m", 2)
-			f.sharers[0].AnnounceWeights(f.engine(0, e), "m", 2, 0)
-		}
+		go func() {
+			for e := range announcements {
+				f.engine(0, e).SetWeights("m", 2)
+				f.sharers[0].AnnounceWeights(f.engine(0, e), "m", 2, 0)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
 		during, _ := f.count(4 * time.Second)
 		for n := range size {
 			for e := range announcements {
