Settle the hubs of a large fleet within two seconds of its start

Cause: 195 instances that start together all became hubs before they heard of one another, and sent to all. A hub that gave up its role told only its new hub, so that others reported to it for two seconds more and then became hubs themselves. Instances that discovered their peers early were not known to later ones. Ruled out: lost datagrams alone; TestLargeFleetStarts shows it in virtual time. Change: an instance becomes a hub only once it has discovered its peers; it tells its data centre when it has, and when it becomes a hub or is none any more; a hub answers an instance that comes up; until the hubs are known, messages stay within the data centre. An instance of a large fleet waits two seconds for a hub before it follows the store. At rest: a paused feeder, the watch for silent endpoints and the roller wait for an event instead of looking ten or twenty times a second; instances that may not take the lease do not look at the engines.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -25,9 +25,6 @@
 	// quick succession need one call only.
 	batchPause  = 100 * time.Millisecond
 	readTimeout = 3 * time.Second
-	// pauseCheckInterval is the interval at which a feeder whose polling is
-	// paused checks whether it still is.
-	pauseCheckInterval = 100 * time.Millisecond
 	// maxDeleted bounds the number of deleted rows that are kept to send the
 	// deletions to other instances.
 	maxDeleted = 1000
@@ -57,14 +54,15 @@
 	// changed is closed when a newer change is received or the store fails.
 	changed chan struct{}
 	// pausedUntil is when the store is polled again. Until then another instance
-	// sends the changes.
+	// sends the changes. resumed is closed when that time is brought forward.
 	pausedUntil time.Time
+	resumed     chan struct{}
 }
 
 // New returns a feeder that passes rows to apply; whole means that they are the
 // whole table, otherwise they are the changed rows.
 func New(store Store, table string, apply func(rows []Row, whole bool), count *counter.Counter, log *zap.Logger) *Feeder {
-	return &Feeder{store: store, table: table, apply: apply, count: count, log: log, rows: map[string]Row{}, changed: make(chan struct{})}
+	return &Feeder{store: store, table: table, apply: apply, count: count, log: log, rows: map[string]Row{}, changed: make(chan struct{}), resumed: make(chan struct{})}
 }
 
 // Name returns the name of the table.
@@ -127,24 +125,40 @@
 func (f *Feeder) PausePolling(until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if until.Before(f.pausedUntil) {
+		close(f.resumed)
+		f.resumed = make(chan struct{})
+	}
 	f.pausedUntil = until
 	if !until.IsZero() && f.storeDown.Swap(false) {
 		f.log.Info("another instance sends the table", zap.String("table", f.table), zap.Uint64("version", f.newest))
 	}
 }
 
-func (f *Feeder) isPaused() bool {
+// awaitPause waits until polling is not paused, and reports whether it waited.
+func (f *Feeder) awaitPause(ctx context.Context) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.newest > 0 && time.Now().Before(f.pausedUntil)
+	pause, resumed := time.Until(f.pausedUntil), f.resumed
+	known := f.newest > 0
+	f.mu.Unlock()
+	if !known || pause <= 0 {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-resumed:
+	case <-ctx.Done():
+	}
+	return true
 }
 
 // Run follows the table until ctx ends.
 func (f *Feeder) Run(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
-		if f.isPaused() {
-			pacer.Wait(ctx, pauseCheckInterval)
+		if f.awaitPause(ctx) {
 			continue
 		}
 		err := f.poll(ctx)
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +48,10 @@
 	newerPeers chan string
 	count      *counter.Counter
 	log        *zap.Logger
+	// awaitUntil is when the feeders poll the store if no source was found, in Unix
+	// nanoseconds. hadSource means that there was one.
+	awaitUntil atomic.Int64
+	hadSource  atomic.Bool
 }
 
 // New returns an informer of the tables that feeders follow.
@@ -74,6 +79,15 @@
 	}
 }
 
+// AwaitSource makes the feeders wait for a source instead of polling the store,
+// until the given time at most. It has no effect once there was a source.
+func (i *Informer) AwaitSource(until time.Time) {
+	i.awaitUntil.Store(until.UnixNano())
+	if !i.hadSource.Load() {
+		i.pausePolling(until)
+	}
+}
+
 // Run receives the tables from the instance at the address that source returns,
 // and from peers that have newer versions, until ctx ends.
 func (i *Informer) Run(ctx context.Context, source func() string) {
@@ -132,10 +146,13 @@
 		}
 		connected = address
 		if address == "" {
-			i.pausePolling(time.Time{})
+			if i.hadSource.Load() || time.Now().UnixNano() >= i.awaitUntil.Load() {
+				i.pausePolling(time.Time{})
+			}
 			pacer.Wait(ctx, sourceCheckInterval)
 			continue
 		}
+		i.hadSource.Store(true)
 		var err error
 		if client == nil {
 			client, err = i.connect(address)
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -237,3 +237,27 @@
 	eventually(t, "the second instance has received the table", second.hasRows(map[string]string{"a": "1"}))
 	assert.DeepEqual(t, first.inform.Versions(), second.inform.Versions())
 }
+
+// Guards against calls to the store while an instance of a large fleet waits for its
+// first source, and against waiting longer than allowed.
+func TestWaitForTheFirstSource(t *testing.T) {
+	table := newStore()
+	i := newInstance(t, table)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if table.callCount() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the table was not read")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	i.inform.AwaitSource(time.Now().Add(1500 * time.Millisecond))
+	time.Sleep(500 * time.Millisecond) // until the watch in progress has ended
+	before := table.callCount()
+	time.Sleep(700 * time.Millisecond)
+	assert.Equal(t, table.callCount(), before)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if table.callCount() > before {
+			return poll.Success()
+		}
+		return poll.Continue("the table is not followed")
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -66,11 +66,15 @@
 	fleet   holder.Value[*Fleet]
 	weights holder.Value[map[string]versioner.Versions]
 	now     func() time.Time
+	// versionAdded receives a value when a new version is known.
+	versionAdded chan struct{}
 }
 
 // New returns an empty registrar. now is the clock of the versions of weights; it
 // continues while the process is suspended.
-func New(now func() time.Time) *Registrar { return &Registrar{now: now} }
+func New(now func() time.Time) *Registrar {
+	return &Registrar{now: now, versionAdded: make(chan struct{}, 1)}
+}
 
 // Now returns the time by the clock of the versions of weights.
 func (r *Registrar) Now() time.Time { return r.now() }
@@ -121,9 +125,19 @@
 		next[model] = versions
 		return next
 	})
+	if newer {
+		select {
+		case r.versionAdded <- struct{}{}:
+		default: // an earlier one was not received yet
+		}
+	}
 	return newer
 }
 
+// VersionAdded returns a channel that receives a value when a new version of any
+// model's weights is known. It has one receiver.
+func (r *Registrar) VersionAdded() <-chan struct{} { return r.versionAdded }
+
 // PutEndpoints applies changed entries and the names of removed ones in gone.
 // An endpoint that is leaving or removed is used only as a last resort until
 // leaveBy, and not at all afterwards. It is not dropped at once, since entries
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -47,11 +47,13 @@
 type Relayer struct {
 	deps Dependencies
 
-	mu        sync.Mutex
-	budgets   map[string]*budgeter.Budget
-	queues    map[string]*queuer.Queue
-	watched   map[*attempt]struct{}
-	instances int
+	mu      sync.Mutex
+	budgets map[string]*budgeter.Budget
+	queues  map[string]*queuer.Queue
+	watched map[*attempt]struct{}
+	// watchStarted receives a value when an attempt is added to watched.
+	watchStarted chan struct{}
+	instances    int
 }
 
 // Dependencies are the collaborators and settings of a relayer.
@@ -84,7 +86,7 @@
 // New returns a relayer.
 func New(deps Dependencies) *Relayer {
 	return &Relayer{
-		deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, watched: map[*attempt]struct{}{}, instances: 1,
+		deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
 	}
 }
 
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -22,7 +22,7 @@
 // abandoned: engines are silent during the prefill of other long prompts, and
 // an abandoned stream is cut if no other engine accepts it.
 func (r *Relayer) WatchSilent(ctx context.Context) {
-	for pacer.Wait(ctx, silenceCheckInterval) {
+	for r.awaitWatched(ctx) && pacer.Wait(ctx, silenceCheckInterval) {
 		now := r.deps.Now()
 		for _, a := range r.silentAttempts(now) {
 			if !r.budget(a.request.Pool.Name).TryRetry() {
@@ -34,6 +34,24 @@
 	}
 }
 
+// awaitWatched waits until there is an attempt to watch. It returns false when ctx
+// ends.
+func (r *Relayer) awaitWatched(ctx context.Context) bool {
+	for {
+		r.mu.Lock()
+		watched := len(r.watched)
+		r.mu.Unlock()
+		if watched > 0 {
+			return true
+		}
+		select {
+		case <-r.watchStarted:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // silentAttempts returns the attempts whose endpoint has been silent for longer
 // than their limit.
 func (r *Relayer) silentAttempts(now time.Time) []*attempt {
@@ -63,6 +81,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.watched[a] = struct{}{}
+	select {
+	case r.watchStarted <- struct{}{}:
+	default: // the watch runs already
+	}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -24,7 +24,9 @@
 
 const (
 	roundInterval = 100 * time.Millisecond
-	callTimeout   = time.Second
+	// idleInterval is the interval of rounds while no engine is outdated.
+	idleInterval = time.Second
+	callTimeout  = time.Second
 	// loadTimeout is how long an engine is assumed to load weights unless it
 	// reports that it is still busy.
 	loadTimeout = 3 * time.Second
@@ -132,8 +134,19 @@
 
 // Run sends orders until ctx ends.
 func (r *Roller) Run(ctx context.Context) {
-	for pacer.Wait(ctx, roundInterval) {
-		r.round(ctx)
+	pause := roundInterval
+	for ctx.Err() == nil {
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-r.registrar.VersionAdded():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		pause = idleInterval
+		if r.round(ctx) {
+			pause = roundInterval
+		}
 	}
 }
 
@@ -186,37 +199,40 @@
 	olderUntil time.Time
 }
 
-func (r *Roller) round(ctx context.Context) {
-	if r.hasStopped() {
-		return
+// round orders the engines that are due, and reports whether any engine is
+// outdated.
+func (r *Roller) round(ctx context.Context) bool {
+	now := r.now()
+	if r.hasStopped() || r.rank() < 0 && !r.held.Load().Valid(now) {
+		return false
 	}
 	tasks := r.tasks()
-	now := r.now()
 	if len(tasks) == 0 {
 		r.vacantSince = time.Time{}
 		if !r.held.Load().Valid(now) {
 			r.sharer.SetLeading(false)
 		}
-		return
+		return false
 	}
 	if r.vacantSince.IsZero() || r.sharer.OtherLeads() {
 		r.vacantSince = now
 	}
 	held := r.held.Load()
 	if r.retiring.Load() && !held.Valid(now) {
-		return
+		return true
 	}
 	if !held.Valid(now.Add(callTimeout/2)) && !r.acquire(ctx) {
-		return
+		return true
 	}
 	if since := r.held.Load().PreviousUse; !since.IsZero() && r.now().Before(since.Add(r.orderPause)) {
-		return
+		return true
 	}
 	for _, t := range tasks {
 		for _, engine := range Plan(r.rollout(t), r.now()) {
 			r.startUpdate(ctx, engine.Endpoint, t)
 		}
 	}
+	return true
 }
 
 // tasks returns the models of which some engines have old weights.
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -295,10 +295,10 @@
 			sharers[last].AnnounceLeaving(true)
 		}
 		cancel()
+		time.Sleep(5 * time.Second) // until the updates in progress have ended
 		for _, conn := range network.conns {
 			close(conn.packets)
 		}
-		time.Sleep(5 * time.Second)
 	})
 }
 
--- a/runner/discover.go
+++ b/runner/discover.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -53,6 +54,9 @@
 		}
 		failing = false
 		r.sharer.AddPeers(r.decodePeers(rows))
+		if r.sharer.AwaitsHub() {
+			r.informer.AwaitSource(time.Now().Add(hubWait))
+		}
 		pause = pacer.Jitter(discoveryInterval)
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,7 +51,10 @@
 	// together.
 	maxDiscoveryDelay   = 200 * time.Millisecond
 	discoveryRetryDelay = time.Second
-	instanceKeyPrefix   = "instance/"
+	// hubWait is how long an instance that starts in a large fleet waits for a hub
+	// that sends the tables before it follows the store itself.
+	hubWait           = 2 * time.Second
+	instanceKeyPrefix = "instance/"
 	// drainCheckInterval is the interval at which a draining instance checks for requests in progress.
 	drainCheckInterval = 50 * time.Millisecond
 	// flushDelay gives the last answers time to be sent before the process ends.
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/counter"
@@ -27,6 +31,10 @@
 	mu             sync.Mutex
 	conns          map[string]*memoryConn
 	packets, bytes int
+	// receiveTime is how long an instance takes for a datagram, and maxQueued how
+	// many wait for it; more are lost. Zero values mean no limit.
+	receiveTime time.Duration
+	maxQueued   int
 }
 
 // memoryConn is a connection to a packetNetwork.
@@ -51,7 +59,8 @@
 	defer c.network.mu.Unlock()
 	c.network.packets++
 	c.network.bytes += len(data)
-	if target := c.network.conns[to.String()]; target != nil {
+	target := c.network.conns[to.String()]
+	if target != nil && (c.network.maxQueued == 0 || len(target.queue) < c.network.maxQueued) {
 		target.queue <- append([]byte(nil), data...)
 	}
 	return len(data), nil
@@ -62,15 +71,23 @@
 	if !open {
 		return 0, nil, net.ErrClosed
 	}
+	time.Sleep(c.network.receiveTime)
 	return copy(buffer, data), c.address, nil
 }
 
 // fleet is a set of sharers on a packetNetwork.
 type fleet struct {
 	network *packetNetwork
+	conns   []*memoryConn
 	states  []*registrar.Registrar
 	sharers []*sharer.Sharer
+	all     []sharer.Peer
+	logs    map[string]*hubLog
+	ctx     context.Context
 	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	peers []sharer.Peer // those that were started
 }
 
 const (
@@ -78,35 +95,102 @@
 	fleetEngines     = 79
 )
 
-// newFleet starts sharers in several data centres that know the same engines.
-func newFleet(t *testing.T, size int) *fleet {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	f := &fleet{network: &packetNetwork{conns: map[string]*memoryConn{}}, stop: cancel}
+// newFleet starts sharers in several data centres that know the same engines and
+// each other.
+func newFleet(size int) *fleet {
+	f := newStoppedFleet(size)
+	for n := range size {
+		f.start(n)
+	}
+	for _, share := range f.sharers {
+		share.AddPeers(f.all)
+	}
+	return f
+}
+
+// newStoppedFleet returns a fleet of which no sharer runs.
+func newStoppedFleet(size int) *fleet {
+	f := &fleet{network: &packetNetwork{conns: map[string]*memoryConn{}}, logs: map[string]*hubLog{}}
+	f.ctx, f.stop = context.WithCancel(context.Background())
 	dataCentre := func(n int) string { return fmt.Sprintf("d%d", n%fleetDataCentres) }
 	var entries []monitor.Entry
 	for e := range fleetEngines {
 		entries = append(entries, monitor.Entry{Name: fmt.Sprintf("e%d", e), Address: "10.0.0.1:80", Pool: "p", DataCentre: dataCentre(e), Weights: map[string]int{"m": 1}})
 	}
-	var peers []sharer.Peer
 	for n := range size {
 		conn := f.network.listen(n + 1)
-		peer := sharer.Peer{Name: fmt.Sprintf("n%d", n), DataCentre: dataCentre(n), Address: conn.address.String(), Rate: 20}
+		rate := 20
+		if n < 3*fleetDataCentres {
+			rate = 200
+		}
+		peer := sharer.Peer{Name: fmt.Sprintf("n%d", n), DataCentre: dataCentre(n), Address: conn.address.String(), Rate: rate}
 		state := registrar.New(time.Now)
 		state.PutTable(router.New(1, nil, []router.Pool{{Name: "p", Engine: &router.Engine{CapacityTokens: 100000}}}, nil, nil, router.Limits{}))
 		state.PutEndpoints(entries, nil, time.Now(), time.Now())
 		state.AddVersion("m", versioner.Version{Number: 2, OlderUntil: time.Now().Add(time.Minute)})
-		share := sharer.New(peer, 1, conn, state, quarantiner.New(), &tables{}, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
-		f.states, f.sharers, peers = append(f.states, state), append(f.sharers, share), append(peers, peer)
-	}
-	for _, share := range f.sharers {
-		share.AddPeers(peers)
-		go func() { _ = share.Listen() }()
-		go share.Run(ctx)
+		log := &hubLog{}
+		share := sharer.New(peer, 1, conn, state, quarantiner.New(), &tables{}, counter.New(metrics.NewRegistry()), zap.New(log), time.Now)
+		f.conns, f.logs[peer.Name] = append(f.conns, conn), log
+		f.states, f.sharers, f.all = append(f.states, state), append(f.sharers, share), append(f.all, peer)
 	}
 	return f
 }
 
+// start starts a sharer.
+func (f *fleet) start(n int) {
+	go func() { _ = f.sharers[n].Listen() }()
+	go f.sharers[n].Run(f.ctx)
+}
+
+// discover lets a sharer discover those that did so before.
+func (f *fleet) discover(n int) {
+	f.mu.Lock()
+	f.peers = append(f.peers, f.all[n])
+	known := slices.Clone(f.peers)
+	for i := range known {
+		known[i].Rate = 0 // the rows of instances do not contain it
+	}
+	f.mu.Unlock()
+	f.sharers[n].AddPeers(known)
+}
+
+// hubs returns the number of hubs by data centre.
+func (f *fleet) hubs() map[string]int {
+	hubs := map[string]int{}
+	for _, peer := range f.all {
+		if f.logs[peer.Name].hub.Load() {
+			hubs[peer.DataCentre]++
+		}
+	}
+	return hubs
+}
+
+// hubLog is a log core that follows the role of an instance.
+type hubLog struct {
+	zapcore.Core
+	hub     atomic.Bool
+	changes atomic.Int64
+}
+
+func (l *hubLog) Enabled(zapcore.Level) bool { return true }
+
+func (l *hubLog) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	return checked.AddCore(entry, l)
+}
+
+func (l *hubLog) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	if entry.Message != "hub role changed" {
+		return nil
+	}
+	l.changes.Add(1)
+	for _, field := range fields {
+		if field.Key == "hub" {
+			l.hub.Store(field.Integer == 1)
+		}
+	}
+	return nil
+}
+
 // engine returns an engine as an instance sees it.
 func (f *fleet) engine(instance, engine int) *monitor.Monitor {
 	return f.states[instance].Fleet().All()[fmt.Sprintf("e%d", engine)]
@@ -137,7 +221,7 @@
 func TestAnnouncementsAreForwardedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const size, announcements = 60, 20
-		f := newFleet(t, size)
+		f := newFleet(size)
 		defer f.end()
 		time.Sleep(10 * time.Second) // until the hubs are decided on
 		atRest, _ := f.count(4 * time.Second)
@@ -157,3 +241,40 @@
 		assert.Assert(t, during-atRest <= 2*size*announcements, "%d datagrams for %d announcements to %d instances", during-atRest, announcements, size)
 	})
 }
+
+// Guards against a flood of messages when all instances of a large fleet start at one
+// moment: each must soon report to a hub, without receiving a message of every other
+// instance again and again, and without changing its role over and over.
+func TestLargeFleetStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 195
+		f := newStoppedFleet(size)
+		defer f.end()
+		f.network.receiveTime, f.network.maxQueued = 2*time.Millisecond, 100
+		for n := range size {
+			time.AfterFunc(rand.N(50*time.Millisecond), func() { f.start(n) })
+			time.AfterFunc(100*time.Millisecond+rand.N(200*time.Millisecond), func() { f.discover(n) })
+		}
+		packets, _ := f.count(3 * time.Second)
+		perInstance := packets / size
+		assert.Assert(t, perInstance <= 100, "%d datagrams received by each instance", perInstance)
+		settled := 0
+		for _, share := range f.sharers {
+			if !share.AwaitsHub() {
+				settled++
+			}
+		}
+		assert.Equal(t, settled, size)
+		hubs := f.hubs()
+		for dataCentre, count := range hubs {
+			assert.Assert(t, count >= 2 && count <= 5, "%d hubs in %s", count, dataCentre)
+		}
+		assert.Equal(t, len(hubs), fleetDataCentres)
+		time.Sleep(7 * time.Second)
+		changes := 0
+		for _, log := range f.logs {
+			changes += int(log.changes.Load())
+		}
+		assert.Assert(t, changes <= 2*size, "%d changes of roles", changes)
+	})
+}
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -30,7 +30,11 @@
 
 func (s *Sharer) receive(msg *message) {
 	now := s.now()
-	if !s.updatePeer(msg, now) {
+	newer, greet := s.updatePeer(msg, now)
+	if greet {
+		s.greet(msg.SenderAddress)
+	}
+	if !newer {
 		return
 	}
 	fleet := s.registrar.Fleet()
@@ -157,21 +161,31 @@
 	}
 }
 
-// updatePeer records the sender and reports whether the message is newer than
-// its last one.
-func (s *Sharer) updatePeer(msg *message, now time.Time) bool {
+// greet sends a heartbeat to an instance that has just come up, so that it learns
+// of this hub before it becomes one itself.
+func (s *Sharer) greet(address string) {
+	s.mu.Lock()
+	msg := s.heartbeat(s.now())
+	s.mu.Unlock()
+	s.send(datagram{msg, []string{address}})
+}
+
+// updatePeer records the sender. It reports whether the message is newer than its
+// last one, and whether the sender has just come up and does not know this hub.
+func (s *Sharer) updatePeer(msg *message, now time.Time) (newer, greet bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if msg.Name == s.self.Name {
-		return false
+		return false, false
 	}
 	peer := s.peers[msg.Name]
 	// After a timeout any incarnation is accepted, since incarnations are
 	// numbered by the wall clock, which may have jumped.
 	if peer != nil && !peer.timedOut(now) && (msg.Incarnation < peer.incarnation || msg.Incarnation == peer.incarnation && msg.Seq <= peer.seq) {
-		return false
+		return false, false
 	}
 	if peer == nil || peer.timedOut(now) {
+		greet = s.self.flags.has(flagHub) && msg.Hub == ""
 		s.log.Info("peer is up", zap.String("peer", msg.Name), zap.String("address", msg.SenderAddress))
 	}
 	s.peers[msg.Name] = &Peer{
@@ -184,5 +198,5 @@
 	if msg.Flags.has(flagStopped) {
 		s.peers[msg.Name].timeoutAt = now
 	}
-	return true
+	return true, greet
 }
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -42,17 +42,24 @@
 		if !s.now().Before(heartbeatAt) {
 			next, heartbeatAt = everything, s.now().Add(heartbeatInterval)
 		}
-		s.updateRole()
+		if s.updateRole() {
+			s.announceRole()
+		}
 		largest := s.sendDue(next)
 		pause = max(minSendInterval, time.Duration(largest)*time.Second/maxBytesPerSecond)
 	}
 }
 
 // updateRole decides whether this instance is a hub, to which hub it reports
-// otherwise, and from which instance it receives the tables.
-func (s *Sharer) updateRole() {
+// otherwise, and from which instance it receives the tables. It reports whether the
+// instance has become a hub or is none any more.
+func (s *Sharer) updateRole() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.now().Before(s.electFrom) {
+		return false
+	}
+	wasHub := s.self.flags.has(flagHub)
 	hubs := s.otherHubs()
 	first, outranking, bestHub, bestScore := &s.self, 0, "", 0.0
 	for _, peer := range hubs {
@@ -76,6 +83,33 @@
 		s.tableSource = ""
 	}
 	s.setRole(hub, bestHub)
+	return hub != wasHub
+}
+
+// announceRole sends a heartbeat to all instances that may know this one as a hub,
+// or should: those that learn late of a new hub become hubs too, and those that do
+// not learn that a hub has given up its role go on to report to it.
+func (s *Sharer) announceRole() {
+	s.mu.Lock()
+	now := s.now()
+	msg := s.heartbeat(now)
+	var addresses []string
+	for _, peer := range s.peers {
+		if !peer.timedOut(now) || peer.DataCentre == s.self.DataCentre {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	s.mu.Unlock()
+	s.send(datagram{msg, addresses})
+}
+
+// heartbeat returns a message without events.
+func (s *Sharer) heartbeat(now time.Time) *message {
+	s.seq++
+	msg := s.message(s.endpointLoads(now).sumOf(s.group(now)...), events{})
+	msg.GroupSize, msg.TotalSize = s.sizes(now)
+	msg.Versions = s.currentVersions()
+	return msg
 }
 
 // otherHubs returns the other live hubs of the data centre that are not about
@@ -190,12 +224,7 @@
 		queue(s.message(endpointLoads.sumOf(s.self.Name), toHubs), hub.Address)
 		return list
 	}
-	group := []string{s.self.Name}
-	for name, peer := range s.peers {
-		if s.reportsHere(peer, now) {
-			group = append(group, name)
-		}
-	}
+	group := s.group(now)
 	queue(s.message(endpointLoads.sumOf(group...), toHubs), s.remoteAddresses(heartbeat, now)...)
 	localOnly := len(endpointLoads) > maxGlobalEndpoints && !heartbeat
 	if localOnly {
@@ -211,24 +240,41 @@
 	return list
 }
 
+// group returns the names of this instance and of those that report to it.
+func (s *Sharer) group(now time.Time) []string {
+	group := []string{s.self.Name}
+	for name, peer := range s.peers {
+		if s.reportsHere(peer, now) {
+			group = append(group, name)
+		}
+	}
+	return group
+}
+
 // remoteAddresses returns the addresses of the live peers that do not report
 // to this instance. Heartbeats go also to peers that timed out or never sent a
 // message, since they may not have discovered any instance: those in this data
-// centre and in data centres without a live hub.
+// centre and in data centres of which not all hubs are known.
 func (s *Sharer) remoteAddresses(heartbeat bool, now time.Time) []string {
-	hasHub := map[string]bool{}
+	hubs := map[string]int{}
 	for _, peer := range s.peers {
 		if !peer.timedOut(now) && peer.flags.has(flagHub) {
-			hasHub[peer.DataCentre] = true
+			hubs[peer.DataCentre]++
 		}
 	}
-	delete(hasHub, s.self.DataCentre)
+	delete(hubs, s.self.DataCentre)
+	// While the hubs of a large fleet are not decided on, an instance sends to its
+	// own data centre only: all to all would be too many.
+	localOnly := len(s.peers) >= maxDirectInstances && !s.self.flags.has(flagHub)
 	var addresses []string
 	for _, peer := range s.peers {
+		if localOnly && peer.DataCentre != s.self.DataCentre {
+			continue
+		}
 		switch {
 		case !peer.timedOut(now) && !s.reportsHere(peer, now):
 			addresses = append(addresses, peer.Address)
-		case peer.timedOut(now) && heartbeat && !hasHub[peer.DataCentre] && (peer.timeoutAt.IsZero() || now.Before(peer.timeoutAt.Add(forgetPeerAfter))):
+		case peer.timedOut(now) && heartbeat && hubs[peer.DataCentre] < elector.HubsPerDataCentre && (peer.timeoutAt.IsZero() || now.Before(peer.timeoutAt.Add(forgetPeerAfter))):
 			addresses = append(addresses, peer.Address)
 		}
 	}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -56,6 +56,10 @@
 	// maxDirectInstances is the number of instances up to which each reads the
 	// tables from the store itself, since this causes few calls.
 	maxDirectInstances = 14
+	// maxDiscoveryWait is how long an instance that starts waits until it has
+	// discovered its peers before it may become a hub. It could tell no other
+	// instance about it.
+	maxDiscoveryWait = 1500 * time.Millisecond
 	// maxGlobalEndpoints is the number of endpoints above which only heartbeats
 	// contain the loads on endpoints of other data centres.
 	maxGlobalEndpoints = 100
@@ -98,8 +102,11 @@
 
 	mu         sync.Mutex
 	hubElector *elector.Elector
-	seq        uint64
-	peers      map[string]*Peer
+	// electFrom is when this instance may become a hub although it has not
+	// discovered any peers. It is zero once it has.
+	electFrom time.Time
+	seq       uint64
+	peers     map[string]*Peer
 	// tableSource is the name of the instance that sends the tables to this
 	// one, "" if this one reads them from the store.
 	tableSource string
@@ -113,13 +120,23 @@
 func New(self Peer, incarnation int64, conn net.PacketConn, state *registrar.Registrar, quarantine *quarantiner.Registry, tables Tables, count *counter.Counter, log *zap.Logger, now func() time.Time) *Sharer {
 	self.incarnation = incarnation
 	return &Sharer{
-		self: self, conn: conn, registrar: state, quarantine: quarantine, tables: tables, count: count, log: log, now: now,
+		electFrom: now().Add(maxDiscoveryWait),
+		self:      self, conn: conn, registrar: state, quarantine: quarantine, tables: tables, count: count, log: log, now: now,
 		hubElector: elector.New(), peers: map[string]*Peer{},
 	}
 }
 
-// AddPeers adds peers that were discovered by other means than messages.
+// AddPeers adds peers that were discovered by other means than messages. The first
+// time, this instance sends a message to those of its data centre, which may have
+// discovered their peers before this instance was among them.
 func (s *Sharer) AddPeers(peers []Peer) {
+	if s.addPeers(peers) {
+		s.announceRole()
+	}
+}
+
+// addPeers reports whether it was called for the first time.
+func (s *Sharer) addPeers(peers []Peer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -129,6 +146,9 @@
 			s.peers[peer.Name] = &added
 		}
 	}
+	first := !s.electFrom.IsZero()
+	s.electFrom = time.Time{}
+	return first
 }
 
 func (p *Peer) timedOut(now time.Time) bool { return !now.Before(p.timeoutAt) }
@@ -228,6 +248,14 @@
 	return source.Address
 }
 
+// AwaitsHub reports whether the fleet has hubs but this instance neither is one nor
+// reports to one yet.
+func (s *Sharer) AwaitsHub() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers) >= maxDirectInstances && !s.self.flags.has(flagHub) && s.self.hub == ""
+}
+
 // ReportsToHub reports whether this instance reports to a hub.
 func (s *Sharer) ReportsToHub() bool {
 	s.mu.Lock()
