Tell reset connections from crashes of endpoints

Cause: any connection that was lost during a request was recorded as a crash that the request caused. Two resets quarantined the request for ten minutes, and all others of the same workspace with the same path and body. Several resets at one moment doubled the backoff of a working endpoint each time. Ruled out: a request that is sent again wrongly; bookings are not. Change: after a lost connection the endpoint must accept a new one, which is kept for reuse; only if it does not, the crash is recorded. Resets at one moment count as one failure.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -249,6 +249,17 @@
 	m.backoffUntil = now.Add(backoff)
 }
 
+// RecordReset records that a connection to the endpoint was reset while it accepts
+// others. Resets of several connections at one moment count as one failure.
+func (m *Monitor) RecordReset(now time.Time) {
+	m.mu.Lock()
+	inBackoff := m.backoffUntil.After(now)
+	m.mu.Unlock()
+	if !inBackoff {
+		m.RecordFailure(now)
+	}
+}
+
 // View is a snapshot of an endpoint's state for placing one request.
 type View struct {
 	Entry   Entry
--- a/monitor/monitor_test.go
+++ b/monitor/monitor_test.go
@@ -37,6 +37,18 @@
 	assert.Assert(t, m.View("m", start.Add(time.Minute)).LatencyRatio < 1.01)
 }
 
+// Connections that are reset at one moment must not keep requests away from an
+// endpoint that works for longer than one reset does; repeated resets must.
+func TestResetsAtOneMomentCountOnce(t *testing.T) {
+	m := engine()
+	for range 5 {
+		m.RecordReset(start)
+	}
+	assert.Assert(t, !m.View("m", start.Add(300*time.Millisecond)).InBackoff)
+	m.RecordReset(start.Add(300 * time.Millisecond))
+	assert.Assert(t, m.View("m", start.Add(700*time.Millisecond)).InBackoff)
+}
+
 // Consecutive failures extend the backoff of an endpoint.
 func TestFailuresExtendBackoff(t *testing.T) {
 	m := engine()
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -267,25 +267,45 @@
 		return refuser.New(refuser.CallerGone, judge.MayHaveRun, "the caller left")
 	}
 	now := r.deps.Now()
-	a.endpoint.RecordFailure(now)
 	var timeout net.Error
 	if a.abandoned.Load() {
+		a.endpoint.RecordFailure(now)
 		a.retryReserved = true
 		return refuser.New(refuser.Silent, judge.MayHaveRun, "endpoint %s sent nothing for %d ms", a.entry.Name, a.endpoint.SilentFor(now).Milliseconds())
 	}
 	if errors.As(err, &timeout) && timeout.Timeout() {
+		a.endpoint.RecordFailure(now)
 		return refuser.New(refuser.Timeout, judge.MayHaveRun, "endpoint %s did not answer in time", a.entry.Name)
 	}
 	if a.conn.Reused {
 		r.deps.Pool.Drop(a.entry.Address)
 	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err) {
+	lost := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err)
+	switch {
+	case lost && r.accepts(a.entry.Address):
+		a.endpoint.RecordReset(now)
+	case lost:
+		a.endpoint.RecordFailure(now)
 		crash := quarantiner.Crash{Endpoint: a.entry.Name, Incarnation: strconv.FormatInt(a.entry.Incarnation, 10)}
 		r.deps.AnnounceCrash(r.deps.Quarantine.RecordCrash(a.request.Fingerprint, crash, now))
+	default:
+		a.endpoint.RecordFailure(now)
 	}
 	return refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "endpoint %s: %s", a.entry.Name, err)
 }
 
+// accepts reports whether an endpoint accepts a new connection, which is kept for
+// reuse. After a lost connection this tells a connection that was reset on its way
+// from an endpoint that crashed.
+func (r *Relayer) accepts(address string) bool {
+	conn, err := r.deps.Pool.Get(address, true)
+	if err != nil {
+		return false
+	}
+	r.deps.Pool.Put(address, conn, time.Time{})
+	return true
+}
+
 // isNetworkError reports whether err is an error of a network operation, such
 // as a connection reset.
 func isNetworkError(err error) bool {
