Close the connections of the test networks under their lock

Cause: TestLargeFleetStarts closed a connection that another goroutine was sending to; the race detector found it in 6 of 25 runs. Change: both test networks close their connections under the lock that senders hold.

--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -296,9 +296,12 @@
 		}
 		cancel()
 		time.Sleep(5 * time.Second) // until the updates in progress have ended
+		network.mu.Lock()
+		defer network.mu.Unlock()
 		for _, conn := range network.conns {
 			close(conn.packets)
 		}
+		clear(network.conns)
 	})
 }
 
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -211,9 +211,12 @@
 func (f *fleet) end() {
 	f.stop()
 	time.Sleep(5 * time.Second)
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
 	for _, conn := range f.network.conns {
 		close(conn.queue)
 	}
+	clear(f.network.conns)
 }
 
 // Guards against a storm of messages while weights are rolled out: each
