Send changes of load soon, and only the changes

The storm of announcements had carried the loads with it. Without it a load took up to half a second to reach all instances, since messages with all loads were held back to 4 KB a second, and the instances chose the same engines meanwhile. Change: messages contain the loads that have changed, heartbeats all of them; they follow each other after 20 ms, within a tenth of the link. Messages leave in the order of their numbers: a receiver drops an overtaken one with its events. An instance that is no hub any more passes on what those that do not know it yet send it.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -92,13 +92,6 @@
 	return m.entry
 }
 
-// DataCentre returns the endpoint's data centre.
-func (m *Monitor) DataCentre() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.entry.DataCentre
-}
-
 // RecordReceived records that the endpoint sent data at now.
 func (m *Monitor) RecordReceived(now time.Time) {
 	m.mu.Lock()
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -281,3 +281,42 @@
 		assert.Assert(t, changes <= 2*size, "%d changes of roles", changes)
 	})
 }
+
+// Guards against old loads: a request must be known to the instances of the whole
+// fleet soon after it was sent, also while all engines are loaded, since all of them
+// would otherwise choose the same engine.
+func TestLoadsAreFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, maxDelay = 60, 150 * time.Millisecond
+		f := newFleet(size)
+		defer f.end()
+		time.Sleep(10 * time.Second) // until the hubs are decided on
+		ctx, cancel := context.WithCancel(f.ctx)
+		defer cancel()
+		for n := range size { // keeps loads changing on all engines
+			go func() {
+				for ctx.Err() == nil {
+					engine := f.engine(n, 1+rand.IntN(fleetEngines-1))
+					load := monitor.Load{Requests: 1, KVTokens: 640}
+					engine.Begin(load, time.Now())
+					time.Sleep(100*time.Millisecond + rand.N(100*time.Millisecond))
+					engine.End(load)
+				}
+			}()
+		}
+		for range 10 {
+			time.Sleep(time.Second)
+			from := rand.IntN(size)
+			load := monitor.Load{Requests: 1, KVTokens: 640}
+			f.engine(from, 0).Begin(load, time.Now())
+			time.Sleep(maxDelay)
+			for n := range size {
+				assert.Equal(t, f.engine(n, 0).View("m", time.Now()).Load, load, "instance %d does not know the load of %d after %s", n, from, maxDelay)
+			}
+			f.engine(from, 0).End(load)
+		}
+		_, bytes := f.count(4 * time.Second)
+		tenthOfLink := 20 * 1000000 / 8 / 10
+		assert.Assert(t, bytes/size/4 <= tenthOfLink, "%d bytes a second of each instance", bytes/size/4)
+	})
+}
--- a/sharer/loads.go
+++ b/sharer/loads.go
@@ -1,6 +1,7 @@
 package sharer
 
 import (
+	"slices"
 	"time"
 
 	"wisteriadrum/monitor"
@@ -10,7 +11,6 @@
 // causes it, and their sum.
 type endpointLoad struct {
 	key        uint64
-	dataCentre string
 	byInstance map[string]monitor.Load
 	total      monitor.Load
 }
@@ -38,7 +38,7 @@
 		for _, load := range byInstance {
 			total = total.Add(load)
 		}
-		list = append(list, endpointLoad{key: endpoint.Key, dataCentre: endpoint.DataCentre(), byInstance: byInstance, total: total})
+		list = append(list, endpointLoad{key: endpoint.Key, byInstance: byInstance, total: total})
 	}
 	return list
 }
@@ -66,15 +66,61 @@
 	return loads
 }
 
-// inDataCentre returns the loads on the endpoints of a data centre.
-func (e endpointLoads) inDataCentre(dataCentre string) endpointLoads {
-	var inside endpointLoads
-	for _, endpoint := range e {
-		if endpoint.dataCentre == dataCentre {
-			inside = append(inside, endpoint)
+// sentLoads are the loads that were last sent, by the name of the receiver; those to
+// the other hubs have no name. A lost message makes the receiver's loads less precise
+// until the next heartbeat.
+type sentLoads map[string]map[uint64]load
+
+// changes returns the loads that differ from those last sent to the receiver,
+// including ended ones.
+func (s sentLoads) changes(receiver string, loads []load) []load {
+	var changed []load
+	sent := s[receiver]
+	present := 0
+	for _, l := range loads {
+		old, known := sent[l.Key]
+		if known {
+			present++
+		}
+		if !known || old != l {
+			changed = append(changed, l)
+		}
+	}
+	if present == len(sent) {
+		return changed
+	}
+	current := make(map[uint64]bool, len(loads))
+	for _, l := range loads {
+		current[l.Key] = true
+	}
+	for key := range sent {
+		if !current[key] {
+			changed = append(changed, load{Key: key})
+		}
+	}
+	return changed
+}
+
+// record records that loads were sent to the receiver.
+func (s sentLoads) record(receiver string, loads []load) {
+	sent := s[receiver]
+	if sent == nil {
+		sent = make(map[uint64]load, len(loads))
+		s[receiver] = sent
+	}
+	clear(sent)
+	for _, l := range loads {
+		sent[l.Key] = l
+	}
+}
+
+// keep forgets the receivers that are neither listed nor the other hubs.
+func (s sentLoads) keep(receivers []string) {
+	for receiver := range s {
+		if receiver != "" && !slices.Contains(receivers, receiver) {
+			delete(s, receiver)
 		}
 	}
-	return inside
 }
 
 func appendNonZero(loads []load, key uint64, sum monitor.Load) []load {
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -37,7 +37,8 @@
 	// the messages that the sender received.
 	GroupSize, TotalSize int
 	// Loads are the sums over the instances of which the sender sends the
-	// loads. Endpoints that are not listed have no load.
+	// loads. Endpoints that are not listed have no load unless flagChangesOnly is
+	// set.
 	Loads   []load
 	Parts   []part
 	Weights []weights
@@ -60,9 +61,10 @@
 	flagStopped
 	// flagHub means that the sender is a hub.
 	flagHub
-	// flagLocalOnly means that the loads omit endpoints outside the sender's
-	// data centre.
-	flagLocalOnly
+	// flagChangesOnly means that the loads omit those that have not changed since
+	// the sender's last message. An endpoint whose load has ended is listed with no
+	// load.
+	flagChangesOnly
 )
 
 func (f flags) has(flag flags) bool { return f&flag != 0 }
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -107,7 +107,7 @@
 }
 
 // applyLoads replaces the loads received from the sender. Endpoints that the
-// message does not list have no load.
+// message does not list have no load, unless it contains changes only.
 func (s *Sharer) applyLoads(msg *message, fleet *registrar.Fleet, now time.Time) {
 	listed := make(map[uint64]bool, len(msg.Loads))
 	for _, l := range msg.Loads {
@@ -116,11 +116,13 @@
 			endpoint.SetPeerLoad(msg.Name, l.load(), now)
 		}
 	}
+	if msg.Flags.has(flagChangesOnly) {
+		return
+	}
 	for endpoint := range s.endpoints() {
-		if listed[endpoint.Key] || msg.Flags.has(flagLocalOnly) && endpoint.DataCentre() != msg.SenderDataCentre {
-			continue
+		if !listed[endpoint.Key] {
+			endpoint.SetPeerLoad(msg.Name, monitor.Load{}, now)
 		}
-		endpoint.SetPeerLoad(msg.Name, monitor.Load{}, now)
 	}
 }
 
@@ -147,13 +149,15 @@
 func (s *Sharer) forward(msg *message) {
 	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases}
 	s.mu.Lock()
-	if s.self.hub != "" || !received.any() {
+	if !received.any() || s.self.hub != "" && msg.Hub != s.self.Name {
 		s.mu.Unlock()
 		return
 	}
-	s.toGroup.add(received)
+	if s.self.hub == "" {
+		s.toGroup.add(received)
+	}
 	if msg.Hub == s.self.Name {
-		s.toHubs.add(received)
+		s.toHubs.add(received) // also if this instance is no hub any more, which the sender may not know yet
 	}
 	s.mu.Unlock()
 	if received.urgent() {
@@ -164,6 +168,8 @@
 // greet sends a heartbeat to an instance that has just come up, so that it learns
 // of this hub before it becomes one itself.
 func (s *Sharer) greet(address string) {
+	s.sending.Lock()
+	defer s.sending.Unlock()
 	s.mu.Lock()
 	msg := s.heartbeat(s.now())
 	s.mu.Unlock()
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -36,18 +36,35 @@
 
 // Run sends messages to the peers until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
-	pause, heartbeatAt := minSendInterval, s.now()
+	pause, heartbeatAt, roleAt := minSendInterval, s.now(), s.now()
 	for pacer.Wait(ctx, pause) {
+		now := s.now()
 		next := changesOnly
-		if !s.now().Before(heartbeatAt) {
-			next, heartbeatAt = everything, s.now().Add(heartbeatInterval)
+		if !now.Before(heartbeatAt) {
+			next, heartbeatAt = everything, now.Add(heartbeatInterval)
 		}
-		if s.updateRole() {
-			s.announceRole()
+		if !now.Before(roleAt) {
+			roleAt = now.Add(roleInterval)
+			if s.updateRole() {
+				s.announceRole()
+			}
 		}
-		largest := s.sendDue(next)
-		pause = max(minSendInterval, time.Duration(largest)*time.Second/maxBytesPerSecond)
+		pause = s.pauseAfter(s.sendDue(next))
+	}
+}
+
+// pauseAfter returns the pause after a number of bytes were sent: so long that
+// messages take at most linkShare of the link.
+func (s *Sharer) pauseAfter(bytes int) time.Duration {
+	if bytes == 0 {
+		return idleSendInterval
 	}
+	rate := s.self.Rate
+	if rate == 0 {
+		rate = defaultRate
+	}
+	bytesPerSecond := float64(rate) * bytesPerMegabit * linkShare
+	return max(minSendInterval, time.Duration(float64(bytes)/bytesPerSecond*float64(time.Second)))
 }
 
 // updateRole decides whether this instance is a hub, to which hub it reports
@@ -90,6 +107,8 @@
 // or should: those that learn late of a new hub become hubs too, and those that do
 // not learn that a hub has given up its role go on to report to it.
 func (s *Sharer) announceRole() {
+	s.sending.Lock()
+	defer s.sending.Unlock()
 	s.mu.Lock()
 	now := s.now()
 	msg := s.heartbeat(now)
@@ -160,17 +179,19 @@
 	}
 }
 
-// sendDue sends the messages within the scope and returns the size of the
-// largest in bytes.
+// sendDue sends the messages within the scope and returns the number of bytes sent
+// to all receivers.
 func (s *Sharer) sendDue(scope scope) int {
+	s.sending.Lock()
+	defer s.sending.Unlock()
 	s.mu.Lock()
 	batch := s.datagrams(scope)
 	s.mu.Unlock()
-	largest := 0
+	bytes := 0
 	for _, d := range batch {
-		largest = max(largest, s.send(d))
+		bytes += s.send(d)
 	}
-	return largest
+	return bytes
 }
 
 func (s *Sharer) send(d datagram) int {
@@ -189,7 +210,7 @@
 		}
 	}
 	s.count.AddMany("notes", "sent", len(d.addresses))
-	return len(data)
+	return len(data) * len(d.addresses)
 }
 
 // datagrams returns the next messages with the peers that receive them.
@@ -214,29 +235,28 @@
 	groupSize, totalSize := s.sizes(now)
 	endpointLoads := s.endpointLoads(now)
 	var list []datagram
-	queue := func(msg *message, addresses ...string) {
+	queue := func(receiver string, loads []load, queued events, addresses ...string) {
+		msg := s.message(loads, queued)
+		if !heartbeat {
+			msg.Flags |= flagChangesOnly
+			msg.Loads = s.sentLoads.changes(receiver, loads)
+		}
 		if msg.isDue(scope) {
+			s.sentLoads.record(receiver, loads)
 			msg.Versions, msg.GroupSize, msg.TotalSize = versions, groupSize, totalSize
 			list = append(list, datagram{msg, addresses})
 		}
 	}
 	if hub := s.peers[s.self.hub]; hub != nil {
-		queue(s.message(endpointLoads.sumOf(s.self.Name), toHubs), hub.Address)
+		queue(hub.Name, endpointLoads.sumOf(s.self.Name), toHubs, hub.Address)
 		return list
 	}
 	group := s.group(now)
-	queue(s.message(endpointLoads.sumOf(group...), toHubs), s.remoteAddresses(heartbeat, now)...)
-	localOnly := len(endpointLoads) > maxGlobalEndpoints && !heartbeat
-	if localOnly {
-		endpointLoads = endpointLoads.inDataCentre(s.self.DataCentre)
-	}
+	queue("", endpointLoads.sumOf(group...), toHubs, s.remoteAddresses(heartbeat, now)...)
 	for _, name := range group[1:] {
-		msg := s.message(endpointLoads.sumExcept(name), toGroup)
-		if localOnly {
-			msg.Flags |= flagLocalOnly
-		}
-		queue(msg, s.peers[name].Address)
+		queue(name, endpointLoads.sumExcept(name), toGroup, s.peers[name].Address)
 	}
+	s.sentLoads.keep(group)
 	return list
 }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -26,10 +26,19 @@
 )
 
 const (
-	minSendInterval = 100 * time.Millisecond
-	// maxBytesPerSecond bounds the traffic from one instance to another to the
-	// share of a link that may be used for control messages.
-	maxBytesPerSecond = 4096
+	// minSendInterval is the shortest interval of messages with changes, and
+	// idleSendInterval the interval at which changes are looked for if there were
+	// none. Requests are placed by the loads that other instances put on engines:
+	// the older these are, the more instances choose the same engine.
+	minSendInterval  = 20 * time.Millisecond
+	idleSendInterval = 50 * time.Millisecond
+	// roleInterval is the interval at which the role of an instance is decided on.
+	roleInterval = 100 * time.Millisecond
+	// linkShare is the share of a link that messages may use, and defaultRate its
+	// rate in Mbit/s if it is unknown.
+	linkShare       = 0.1
+	defaultRate     = 10
+	bytesPerMegabit = 1e6 / 8
 	// heartbeatInterval is the interval of messages that are sent even without
 	// changes.
 	heartbeatInterval = 500 * time.Millisecond
@@ -60,9 +69,6 @@
 	// discovered its peers before it may become a hub. It could tell no other
 	// instance about it.
 	maxDiscoveryWait = 1500 * time.Millisecond
-	// maxGlobalEndpoints is the number of endpoints above which only heartbeats
-	// contain the loads on endpoints of other data centres.
-	maxGlobalEndpoints = 100
 )
 
 // Peer is another instance.
@@ -100,6 +106,11 @@
 	log        *zap.Logger
 	now        func() time.Time
 
+	// sending is locked from the numbering of messages until they are sent:
+	// receivers drop a message with a lower number than the last one, and with it
+	// its events.
+	sending sync.Mutex
+
 	mu         sync.Mutex
 	hubElector *elector.Elector
 	// electFrom is when this instance may become a hub although it has not
@@ -114,6 +125,7 @@
 	// report to this one.
 	toHubs, toGroup events
 	leader          string
+	sentLoads       sentLoads
 }
 
 // New returns a sharer for the instance self that sends and receives on conn.
@@ -122,7 +134,7 @@
 	return &Sharer{
 		electFrom: now().Add(maxDiscoveryWait),
 		self:      self, conn: conn, registrar: state, quarantine: quarantine, tables: tables, count: count, log: log, now: now,
-		hubElector: elector.New(), peers: map[string]*Peer{},
+		hubElector: elector.New(), peers: map[string]*Peer{}, sentLoads: sentLoads{},
 	}
 }
 
