Bound the datagrams that an instance sends a second

Cause: with an interval of 20 ms a hub of the large deployment sends 1,350 datagrams a second. Change: at most 500 a second for each instance, so that the interval grows with the number of receivers: 20 ms in a fleet of seven, about 50 ms for a hub of the large one.

--- a/sharer/send.go
+++ b/sharer/send.go
@@ -53,10 +53,10 @@
 	}
 }
 
-// pauseAfter returns the pause after a number of bytes were sent: so long that
-// messages take at most linkShare of the link.
-func (s *Sharer) pauseAfter(bytes int) time.Duration {
-	if bytes == 0 {
+// pauseAfter returns the pause after datagrams were sent: so long that these take at
+// most linkShare of the link and are at most maxDatagramsPerSecond.
+func (s *Sharer) pauseAfter(datagrams, bytes int) time.Duration {
+	if datagrams == 0 {
 		return idleSendInterval
 	}
 	rate := s.self.Rate
@@ -64,7 +64,8 @@
 		rate = defaultRate
 	}
 	bytesPerSecond := float64(rate) * bytesPerMegabit * linkShare
-	return max(minSendInterval, time.Duration(float64(bytes)/bytesPerSecond*float64(time.Second)))
+	linkPause := time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second))
+	return max(minSendInterval, linkPause, time.Duration(datagrams)*time.Second/maxDatagramsPerSecond)
 }
 
 // updateRole decides whether this instance is a hub, to which hub it reports
@@ -179,19 +180,19 @@
 	}
 }
 
-// sendDue sends the messages within the scope and returns the number of bytes sent
-// to all receivers.
-func (s *Sharer) sendDue(scope scope) int {
+// sendDue sends the messages within the scope and returns the numbers of datagrams and
+// of their bytes.
+func (s *Sharer) sendDue(scope scope) (datagrams, bytes int) {
 	s.sending.Lock()
 	defer s.sending.Unlock()
 	s.mu.Lock()
 	batch := s.datagrams(scope)
 	s.mu.Unlock()
-	bytes := 0
 	for _, d := range batch {
+		datagrams += len(d.addresses)
 		bytes += s.send(d)
 	}
-	return bytes
+	return datagrams, bytes
 }
 
 func (s *Sharer) send(d datagram) int {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -34,6 +34,10 @@
 	idleSendInterval = 50 * time.Millisecond
 	// roleInterval is the interval at which the role of an instance is decided on.
 	roleInterval = 100 * time.Millisecond
+	// maxDatagramsPerSecond bounds the datagrams with changes that an instance sends,
+	// and so their share of a processor. The more receivers there are, the longer the
+	// interval.
+	maxDatagramsPerSecond = 500
 	// linkShare is the share of a link that messages may use, and defaultRate its
 	// rate in Mbit/s if it is unknown.
 	linkShare       = 0.1
