--- /dev/null
+++ b/roller/lease.go
@@ -0,0 +1,93 @@
+package roller
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/leaser"
+	"wisteriadrum/pacer"
+)
+
+// acquire acquires or renews the lease if no candidate precedes this instance,
+// and reports whether it holds the lease.
+func (r *Roller) acquire(ctx context.Context) bool {
+	rank := r.rank()
+	if rank < 0 || r.now().Before(r.vacantSince.Add(time.Duration(rank)*candidateDelay)) || r.now().Before(r.acquireAt) {
+		return false
+	}
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if r.hasStopped() {
+		return false
+	}
+	held, err := r.lease.Acquire(limit)
+	if err != nil {
+		r.count.Add("orders", "no-lease")
+		r.sharer.SetLeading(false)
+		r.acquireAt = r.now().Add(acquirePause)
+		if !errors.Is(err, leaser.ErrHeld) {
+			r.log.Warn("lease on orders not acquired", zap.String("error", err.Error()))
+		}
+		return false
+	}
+	if held.FencingToken != r.held.Load().FencingToken {
+		r.log.Info("lease on orders acquired", zap.Uint64("fence", held.FencingToken))
+	}
+	r.held.Store(held)
+	r.sharer.SetLeading(true)
+	return held.Valid(r.now())
+}
+
+// rank returns the number of live candidates that precede this instance in
+// acquiring the lease: the last leader, then the others in their order. It is -1
+// if this instance is no candidate.
+func (r *Roller) rank() int {
+	leader := r.sharer.Leader()
+	if leader == r.name {
+		return 0
+	}
+	candidates := r.sharer.Candidates()
+	rank := slices.Index(candidates, r.name)
+	if rank >= 0 && slices.Index(candidates, leader) > rank {
+		rank++
+	}
+	return rank
+}
+
+// Retire prevents this instance from acquiring the lease. If it holds it, orders
+// go on.
+func (r *Roller) Retire() { r.retiring.Store(true) }
+
+// Finish waits until the rollout that this instance has begun is complete, but
+// not longer than the pause that another instance would have to keep before it
+// could go on with it.
+func (r *Roller) Finish(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, r.orderPause)
+	defer cancel()
+	for r.held.Load().Valid(r.now()) && len(r.tasks()) > 0 && pacer.Wait(limit, roundInterval) {
+		continue
+	}
+}
+
+// Stop prevents further orders, waits for those being sent, and releases the
+// lease.
+func (r *Roller) Stop(ctx context.Context) {
+	r.ordering.Lock()
+	r.stopped = true
+	r.ordering.Unlock()
+	r.held.Store(leaser.Lease{})
+	r.sharer.SetLeading(false)
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	had, err := r.lease.Release(limit, r.lastOrder)
+	switch {
+	case err != nil:
+		r.log.Warn("lease on orders not released", zap.String("error", err.Error()))
+	case had:
+		r.log.Info("lease on orders released")
+	}
+}
