--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -314,6 +314,10 @@
 				assert.Equal(t, f.engine(n, 0).View("m", time.Now()).Load, load, "instance %d does not know the load of %d after %s", n, from, maxDelay)
 			}
 			f.engine(from, 0).End(load)
+			time.Sleep(maxDelay)
+			for n := range size {
+				assert.Equal(t, f.engine(n, 0).View("m", time.Now()).Load, monitor.Load{}, "instance %d does not know the end of the load of %d after %s", n, from, maxDelay)
+			}
 		}
 		_, bytes := f.count(4 * time.Second)
 		tenthOfLink := 20 * 1000000 / 8 / 10
