--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -295,8 +295,8 @@
 }
 
 // accepts reports whether an endpoint accepts a new connection, which is kept for
-// reuse. After a lost connection this tells a connection that was reset on its way
-// from an endpoint that crashed.
+// reuse. After a lost connection it distinguishes an endpoint that crashed from a
+// connection that was reset while its endpoint works.
 func (r *Relayer) accepts(address string) bool {
 	conn, err := r.deps.Pool.Get(address, true)
 	if err != nil {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -67,8 +67,8 @@
 	// tables from the store itself, since this causes few calls.
 	maxDirectInstances = 14
 	// maxDiscoveryWait is how long an instance that starts waits until it has
-	// discovered its peers before it may become a hub. It could tell no other
-	// instance about it.
+	// discovered its peers before it may become a hub, since it has no address to
+	// announce its role to.
 	maxDiscoveryWait = 1500 * time.Millisecond
 )
 
