Log until when older weights may be used

Of the hypotheses on weights that are used too late, the logs could not tell an end that was assumed at the start from one that replaced it.

Ruled out: logging each heartbeat's versions, since they repeat what is known.

--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -47,7 +47,7 @@
 		}
 	}
 	msg.Weights = applyWeights(msg.Weights, fleet, now)
-	s.applyVersions(msg.Versions)
+	s.applyVersions(msg.Name, msg.Versions)
 	for _, key := range msg.EmptyStores {
 		if endpoint := fleet.ByKey(key); endpoint != nil {
 			endpoint.ClearParts()
@@ -85,11 +85,15 @@
 	return changes
 }
 
-// applyVersions adds announced versions of weights.
-func (s *Sharer) applyVersions(list []version) {
+// applyVersions adds the announced versions of weights that a peer sent.
+func (s *Sharer) applyVersions(peer string, list []version) {
 	for _, v := range list {
 		until := s.registrar.Now().Add(time.Duration(v.RemainingMillis) * time.Millisecond)
-		s.registrar.AddVersion(v.Model, versioner.Version{Number: v.Number, OlderUntil: until})
+		assumed := s.registrar.Versions(v.Model).Assumes(v.Number)
+		newer := s.registrar.AddVersion(v.Model, versioner.Version{Number: v.Number, OlderUntil: until})
+		if newer || assumed {
+			s.log.Info("weights version received from a peer", zap.String("peer", peer), zap.String("model", v.Model), zap.Int("version", v.Number), zap.Int("older_millis", v.RemainingMillis))
+		}
 	}
 }
 
--- a/versioner/versions.go
+++ b/versioner/versions.go
@@ -31,6 +31,17 @@
 	return v[len(v)-1].Number
 }
 
+// Assumes reports whether a version is known but not its OlderUntil.
+func (v Versions) Assumes(number int) bool {
+	index, known := v.find(number)
+	return known && v[index].Assumed
+}
+
+// find returns the index of a version, or where it belongs if it is not known.
+func (v Versions) find(number int) (index int, known bool) {
+	return slices.BinarySearchFunc(v, number, func(version Version, number int) int { return version.Number - number })
+}
+
 // Required returns the oldest version on which a request may start at the given
 // time, 0 if any may be used.
 func (v Versions) Required(at time.Time) int {
@@ -58,7 +69,7 @@
 // it is known already, the earlier OlderUntil applies, and a known one replaces an
 // assumed one.
 func (v Versions) With(added Version) (next Versions, changed bool) {
-	index, known := slices.BinarySearchFunc(v, added.Number, func(version Version, number int) int { return version.Number - number })
+	index, known := v.find(added.Number)
 	if !known {
 		next = slices.Insert(slices.Clone(v), index, added)
 		return next[max(0, len(next)-maxVersions):], true
