Take a table that is read again for no announcement of weights

Callers got answers made on weights that had been replaced for longer than the bound, after all instances had lost power: 15,155 ms after the acknowledgement of newer ones, with 15,000 allowed.

Cause: an instance that starts assumes an early end of the older weights. A table that it receives afterwards, from a peer that read it a little later or from the store after a lost history, contained the same row, which was taken for a fresh announcement and replaced the assumed end by a whole period from then.

Ruled out: a wrong assumption at the start, and the end that peers send.

Change: the row of a version that is known announces nothing. The class of the fault is a repeated read that is taken for an event.

--- a/versioner/versions.go
+++ b/versioner/versions.go
@@ -31,6 +31,12 @@
 	return v[len(v)-1].Number
 }
 
+// Contains reports whether a version is known.
+func (v Versions) Contains(number int) bool {
+	_, known := v.find(number)
+	return known
+}
+
 // Assumes reports whether a version is known but not its OlderUntil.
 func (v Versions) Assumes(number int) bool {
 	index, known := v.find(number)
