Keep the end of the lease on orders by the store's clock

Cause: the end and the last use of a lease were known only to instances that had watched its row. An instance that started waited for the whole length of a lease that had ended long ago, then for the pause between holders. Restarts in turn after the loss of the holder prolonged that, as each instance was stopped while it waited. The class of the fault: an instant that has to outlive all instances was kept in memory only, while the store survives them.

Ruled out: refusing requests while no engine has the new weights. It keeps the bound, but serves nobody where the store is away and no order can be given.

Change: the row of the lease has an upper bound of its last use by the clock of the store, which is estimated from the times in its answers and never ahead. What was seen of the row still counts where that clock is unknown. A call that arrives late is allowed for as before, by both margins.

--- a/instance.go
+++ b/instance.go
@@ -120,7 +120,7 @@
 	i.tail = tailer.New(i.board, endpointDialer, cacheMap, settings.EventBytesPerSecond, count, now)
 	i.batch = batcher.New(table, count)
 	owner := settings.Name + "@" + member.Boot.Format(time.RFC3339Nano)
-	lease := leaser.New(table, deployer.LeaseKey, owner, leaser.DefaultTerms(), now)
+	lease := leaser.New(table, deployer.LeaseKey, owner, leaser.DefaultTerms(), now, noTableClock)
 	i.deploy = deployer.New(settings.Name, i.board, endpointDialer, lease, cacheMap.NewSlot, count, log, now)
 	forward := forwarder.New(member, i.board, i.batch, i.gossip, count)
 	i.claims = claimer.New(owner, settings.PeerAddress, forward, table, store, i.gossip, count, now)
@@ -305,3 +305,6 @@
 	}
 	return configurer.New(source)
 }
+
+// noTableClock is the clock of the table service, which sends no time.
+func noTableClock() (time.Time, bool) { return time.Time{}, false }
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -43,16 +43,17 @@
 // Valid reports whether the holder may still act at now.
 func (l Lease) Valid(now time.Time) bool { return now.Before(l.ExpiresAt) }
 
-// Leaser acquires and renews a lease for a holder. It compares only times of
-// the local clock, which must continue while the process is suspended: the
-// lease of another holder has expired when its row was seen unchanged for the
-// length and the margin.
+// Leaser acquires and renews a lease for a holder. It does not compare the clocks of
+// instances: the lease of another holder has expired when its row was seen unchanged
+// for the length and the margin by the local clock, which must continue while the
+// process is suspended, or when the end in its row has passed by the table's clock.
 type Leaser struct {
-	table  tabler.Table
-	key    string
-	holder string
-	terms  Terms
-	now    func() time.Time
+	table    tabler.Table
+	key      string
+	holder   string
+	terms    Terms
+	now      func() time.Time
+	tableNow func() (time.Time, bool)
 
 	mu sync.Mutex
 	// rowVersion is the last version of the row, rowReadAt when it was first
@@ -74,13 +75,18 @@
 	// Idle is set on release: the time since the last use of the lease in
 	// milliseconds.
 	Idle int64 `json:"idle,omitempty"`
+	// Until is an upper bound of the time at which the lease was or can be used
+	// last, in milliseconds by the table's clock, 0 if unknown.
+	Until int64 `json:"until,omitempty"`
 }
 
 // New returns a leaser of the lease in the row with a key. The holder's name
 // must be unique to each start of a process, so that a process never renews the
-// lease of an earlier one.
-func New(table tabler.Table, key, holder string, terms Terms, now func() time.Time) *Leaser {
-	return &Leaser{table: table, key: key, holder: holder, terms: terms, now: now}
+// lease of an earlier one. tableNow returns the time by the table's clock, from which an
+// instance that has just started knows that a lease has expired; it may be behind
+// that clock but never ahead, and returns false while it is unknown.
+func New(table tabler.Table, key, holder string, terms Terms, now func() time.Time, tableNow func() (time.Time, bool)) *Leaser {
+	return &Leaser{table: table, key: key, holder: holder, terms: terms, now: now, tableNow: tableNow}
 }
 
 // Acquire acquires or renews the lease. The fencing token increases when the
@@ -109,22 +115,55 @@
 	}
 	next := row{Holder: l.holder, FencingToken: old.FencingToken, Count: old.Count + 1}
 	if old.Holder != l.holder {
-		if old.Holder != "" && begun.Before(l.rowReadAt.Add(l.terms.length()+l.terms.margin())) {
+		if old.Holder != "" && begun.Before(l.rowReadAt.Add(l.terms.length()+l.terms.margin())) && !l.endedByTable(old) {
 			return Lease{}, ErrHeld
 		}
 		next.FencingToken++
-		l.previousUse = time.Time{}
-		if old.FencingToken > 0 {
-			l.previousUse = l.rowReadAt.Add(-time.Duration(old.Idle) * time.Millisecond)
-		}
-		if old.Holder != "" {
-			l.previousUse = begun
-		}
+		l.previousUse = l.lastUse(old, begun)
 	}
 	l.attempted = true
+	next.Until = l.tableMillis(l.terms.length() - l.terms.margin())
 	return l.write(ctx, next, rows[0].Version, begun)
 }
 
+// endedByTable reports whether the lease in a row has ended by the table's clock.
+func (l *Leaser) endedByTable(old row) bool {
+	tableNow, known := l.tableNow()
+	return known && old.Until > 0 && !tableNow.Before(time.UnixMilli(old.Until).Add(l.terms.margin()))
+}
+
+// lastUse returns an upper bound of the time at which another holder last used the
+// lease in a row, by the local clock. It is zero if there was no other holder.
+func (l *Leaser) lastUse(old row, begun time.Time) time.Time {
+	if old.FencingToken == 0 {
+		return time.Time{}
+	}
+	bound := begun
+	slack := 2 * l.terms.margin() // the last use may be a call that arrives late
+	if old.Holder == "" {
+		bound, slack = l.rowReadAt.Add(-time.Duration(old.Idle)*time.Millisecond), 0
+	}
+	tableNow, known := l.tableNow()
+	if !known || old.Until == 0 {
+		return bound
+	}
+	byTable := l.now().Add(time.UnixMilli(old.Until).Sub(tableNow) + slack)
+	if byTable.Before(bound) {
+		return byTable
+	}
+	return bound
+}
+
+// tableMillis returns the time by the table's clock after a duration, rounded up, and 0
+// if it is unknown.
+func (l *Leaser) tableMillis(after time.Duration) int64 {
+	tableNow, known := l.tableNow()
+	if !known {
+		return 0
+	}
+	return tableNow.Add(after).UnixMilli() + 1
+}
+
 // Release releases the lease permanently and reports whether this holder had
 // it. lastUse is the time of its last use, from which the next holder computes
 // PreviousUse.
@@ -149,7 +188,8 @@
 	if old.Holder != l.holder {
 		return false, nil
 	}
-	_, err = l.write(ctx, row{FencingToken: old.FencingToken, Count: old.Count + 1, Idle: l.now().Sub(lastUse).Milliseconds()}, rows[0].Version, l.now())
+	idle := l.now().Sub(lastUse)
+	_, err = l.write(ctx, row{FencingToken: old.FencingToken, Count: old.Count + 1, Idle: idle.Milliseconds(), Until: l.tableMillis(-idle)}, rows[0].Version, l.now())
 	return err == nil, err
 }
 
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -198,7 +198,7 @@
 	count := counter.New(metrics.NewRegistry())
 	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
 	stateSharer := sharer.New(self, incarnation, conn, state, quarantiner.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
-	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now)
+	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, func() (time.Time, bool) { return time.Time{}, false })
 	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,6 +106,9 @@
 	// Tables are the followed tables. The first is that of the configuration.
 	Tables []FollowedTable
 	Dial   func(address string) (net.Conn, error)
+	// StoreNow returns the time by the clock of the platform's store, which may be
+	// behind it but never ahead, and false while it is unknown.
+	StoreNow func() (time.Time, bool)
 	// MonotonicNow returns the time of a clock that continues while the process
 	// is suspended.
 	MonotonicNow func() time.Time
@@ -150,7 +153,7 @@
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
-	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow)
+	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow, deps.StoreNow)
 	orderPause := time.Duration(options.OrderPauseMillis) * time.Millisecond
 	r.roller = roller.New(options.Name, state, deps.Engines, lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
 	return r, nil
