Keep in the store until when older weights may be used

After the loss of all instances, the older weights went out of use as early as an instance may take to catch up, whatever was left of their time: nobody had it in memory any more. Callers then shared the few engines with the new weights.

Cause and class: as for the lease on orders, an instant that has to outlive all instances was kept in memory only.

Change: the row `archive` holds it by the store's clock. Of the instances that may acquire the lease, the first writes the row when it lacks something, the next two after a while. An instance that starts reads it with the rows of the others. Times that are only assumed are not kept.

Ruled out: a write by each instance (a call each for every announcement), and reading the age from the history of the store, which may be discarded.

--- /dev/null
+++ b/archiver/archiver.go
@@ -0,0 +1,187 @@
+// Package archiver keeps in a row of the table service what must outlive all
+// instances: until when older weights may be used. Instances that run have it from one
+// another.
+package archiver
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/pacer"
+	"wisteriadrum/registrar"
+	"wisteriadrum/tabler"
+	"wisteriadrum/versioner"
+)
+
+const (
+	checkInterval = 250 * time.Millisecond
+	callTimeout   = 2 * time.Second
+	// maxWriters is the number of candidates that write the row. Each gives those that
+	// precede it writerDelay to do so.
+	maxWriters  = 3
+	writerDelay = 500 * time.Millisecond
+)
+
+// Archiver writes the row when something is missing in it, and applies it after a
+// start.
+type Archiver struct {
+	table     tabler.Table
+	key       string
+	registrar *registrar.Registrar
+	tableNow  func() (time.Time, bool)
+	rank      func() int
+	count     *counter.Counter
+	log       *zap.Logger
+	now       func() time.Time
+
+	// writeAt is when this instance writes what is missing, zero if nothing is.
+	writeAt time.Time
+	// failing means that the last write failed.
+	failing bool
+	mu      sync.Mutex
+	// stored is the row as it was last read or written.
+	stored archive
+}
+
+// New returns an archiver of the row with a key. tableNow returns the time by the
+// table's clock, and false while it is unknown. rank returns how many live instances
+// precede this one as writers, or -1 if it writes nothing.
+func New(table tabler.Table, key string, state *registrar.Registrar, tableNow func() (time.Time, bool), rank func() int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
+	return &Archiver{table: table, key: key, registrar: state, tableNow: tableNow, rank: rank, count: count, log: log, now: now}
+}
+
+// Run writes the row until ctx ends.
+func (a *Archiver) Run(ctx context.Context) {
+	for pacer.Wait(ctx, checkInterval) {
+		if !a.isDue() {
+			continue
+		}
+		if err := a.write(ctx); err != nil {
+			a.fail(err)
+			continue
+		}
+		a.failing = false
+	}
+}
+
+// Restore applies the value of the row.
+func (a *Archiver) Restore(value []byte) {
+	read, err := decode(value)
+	tableNow, known := a.tableNow()
+	if err != nil || !known {
+		a.count.Add("rows", "malformed")
+		a.log.Warn("archive not restored", zap.Bool("clock", known), zap.Error(err))
+		return
+	}
+	a.setStored(read)
+	for model, versions := range read.versions() {
+		for _, v := range versions {
+			a.restoreVersion(model, v, v.OlderUntil.Sub(tableNow))
+		}
+	}
+}
+
+func (a *Archiver) restoreVersion(model string, v versioner.Version, left time.Duration) {
+	assumed := a.registrar.Versions(model).Assumes(v.Number)
+	v.OlderUntil = a.registrar.Now().Add(left)
+	if newer := a.registrar.AddVersion(model, v); newer || assumed {
+		a.log.Info("weights version restored", zap.String("model", model), zap.Int("version", v.Number), zap.Int64("older_millis", left.Milliseconds()))
+	}
+}
+
+// isDue reports whether something is missing in the row that this instance has to write
+// now.
+func (a *Archiver) isDue() bool {
+	tableNow, known := a.tableNow()
+	if !known {
+		return false
+	}
+	if _, missing := a.loadStored().WithVersions(a.versions(tableNow), tableNow); !missing {
+		a.writeAt = time.Time{}
+		return false
+	}
+	rank := a.rank()
+	if rank < 0 || rank >= maxWriters {
+		return false
+	}
+	if a.writeAt.IsZero() {
+		a.writeAt = a.now().Add(time.Duration(rank) * writerDelay)
+	}
+	return !a.now().Before(a.writeAt)
+}
+
+// versions returns the versions that an instance needs after a start, with their times
+// by the table's clock.
+func (a *Archiver) versions(tableNow time.Time) map[string]versioner.Versions {
+	now := a.registrar.Now()
+	byModel := map[string]versioner.Versions{}
+	for model, versions := range a.registrar.VersionsByModel() {
+		for _, v := range versions.Current(now) {
+			v.OlderUntil = tableNow.Add(v.OlderUntil.Sub(now))
+			byModel[model], _ = byModel[model].With(v)
+		}
+	}
+	return byModel
+}
+
+// write reads the row and adds what is missing. If another instance writes it at the
+// same time, the next round does so.
+func (a *Archiver) write(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := a.table.Get(callCtx, a.key)
+	if err != nil {
+		return eris.Wrap(err, "read the archive")
+	}
+	read, err := decode(rows[0].Value)
+	if err != nil {
+		a.log.Warn("malformed archive is replaced", zap.Error(err))
+	}
+	tableNow, _ := a.tableNow()
+	next, missing := read.WithVersions(a.versions(tableNow), tableNow)
+	if !missing {
+		a.setStored(read)
+		return nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return eris.Wrap(err, "encode archive")
+	}
+	conflicts, err := a.table.Apply(callCtx, []tabler.Write{{Key: a.key, Value: value, Version: rows[0].Version}})
+	if err != nil {
+		return eris.Wrap(err, "write the archive")
+	}
+	if len(conflicts) == 0 {
+		a.count.Add("archive", "written")
+		a.setStored(next)
+	}
+	return nil
+}
+
+// fail counts a failed write and logs the first one of a series.
+func (a *Archiver) fail(err error) {
+	a.count.Add("archive", "failed")
+	if !a.failing {
+		a.log.Warn("archive not written; it is tried again", zap.Error(err))
+	}
+	a.failing = true
+	a.writeAt = a.now().Add(pacer.Jitter(writerDelay))
+}
+
+func (a *Archiver) loadStored() archive {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stored
+}
+
+func (a *Archiver) setStored(stored archive) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stored = stored
+}
--- /dev/null
+++ b/archiver/archiver_test.go
@@ -0,0 +1,141 @@
+package archiver_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/archiver"
+	"wisteriadrum/counter"
+	"wisteriadrum/emulator"
+	"wisteriadrum/registrar"
+	"wisteriadrum/tabler"
+	"wisteriadrum/versioner"
+)
+
+const key = "archive"
+
+// instance is an archiver with the state that it keeps. Its clock has its own zero point.
+type instance struct {
+	*archiver.Archiver
+	registrar *registrar.Registrar
+	stop      context.CancelFunc
+}
+
+func start(t *testing.T, table tabler.Table, rank int, zero time.Duration) *instance {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	state := registrar.New(func() time.Time { return time.Now().Add(zero) })
+	i := &instance{registrar: state, stop: cancel}
+	tableNow := func() (time.Time, bool) { return time.Now(), true }
+	i.Archiver = archiver.New(table, key, state, tableNow, func() int { return rank }, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
+	go i.Run(ctx)
+	return i
+}
+
+func (i *instance) announce(number int, left time.Duration, assumed bool) {
+	i.registrar.AddVersion("m", versioner.Version{Number: number, OlderUntil: i.registrar.Now().Add(left), Assumed: assumed})
+}
+
+// left returns how long weights older than a version may be used.
+func (i *instance) left(number int) time.Duration {
+	until, _ := i.registrar.Versions("m").UsableUntil(number - 1)
+	return until.Sub(i.registrar.Now()).Round(time.Second)
+}
+
+func read(t *testing.T, table tabler.Table) tabler.Row {
+	t.Helper()
+	rows, err := table.Get(t.Context(), key)
+	assert.NilError(t, err)
+	return rows[0]
+}
+
+// Guards against older weights that are used for longer, or for a shorter time, after all
+// instances have lost their state.
+func TestAgeOfVersionsSurvivesAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := emulator.New(time.Now).Table()
+		first := start(t, table, 0, time.Hour)
+		first.announce(1, -time.Minute, false)
+		first.announce(2, 10*time.Second, false)
+		time.Sleep(4 * time.Second)
+		first.stop()
+		second := start(t, table, 0, -time.Hour)
+		second.announce(2, 3*time.Second, true)
+		second.Restore(read(t, table).Value)
+		assert.Equal(t, second.left(2), 6*time.Second)
+		second.announce(3, 20*time.Second, false)
+		time.Sleep(time.Second)
+		second.stop()
+		third := start(t, table, 0, 0)
+		third.Restore(read(t, table).Value)
+		assert.Equal(t, third.left(2), 5*time.Second)
+		assert.Equal(t, third.left(3), 19*time.Second)
+		third.stop()
+	})
+}
+
+// Guards against an assumed time that is kept as if it were known.
+func TestAssumedAgeIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := emulator.New(time.Now).Table()
+		i := start(t, table, 0, 0)
+		i.announce(2, 3*time.Second, true)
+		time.Sleep(5 * time.Second)
+		i.stop()
+		assert.Equal(t, read(t, table).Version, uint64(0))
+	})
+}
+
+// countingTable counts the reads of rows.
+type countingTable struct {
+	tabler.Table
+	reads atomic.Int64
+}
+
+func (c *countingTable) Get(ctx context.Context, keys ...string) ([]tabler.Row, error) {
+	c.reads.Add(1)
+	return c.Table.Get(ctx, keys...)
+}
+
+// Guards against calls of each instance for one row, and against a row that nobody writes
+// while the first candidate is away.
+func TestFewInstancesWrite(t *testing.T) {
+	for _, test := range []struct{ firstRank, reads int }{{0, 3}, {1, 2}, {3, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			table := &countingTable{Table: emulator.New(time.Now).Table()}
+			for rank := test.firstRank; rank < 6; rank++ {
+				i := start(t, table, rank, 0)
+				defer i.stop()
+				i.announce(2, time.Minute, false)
+			}
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, int(table.reads.Load()), test.reads)
+			assert.Equal(t, read(t, table).Version, uint64(min(test.reads, 1)))
+		})
+	}
+}
+
+// Guards against a malformed row that is applied, or that stays.
+func TestMalformedArchive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, value := range []string{"x", `{"versions":[{"model":"","number":2,"until":5}]}`, `{"versions":[{"model":"m","number":0,"until":5}]}`} {
+			table := emulator.New(time.Now).Table()
+			_, err := table.Apply(t.Context(), []tabler.Write{{Key: key, Value: []byte(value)}})
+			assert.NilError(t, err)
+			i := start(t, table, 0, 0)
+			i.Restore([]byte(value))
+			assert.Equal(t, i.registrar.Versions("m").Newest(), 0)
+			i.announce(2, time.Minute, false)
+			time.Sleep(time.Second)
+			i.stop()
+			assert.Equal(t, read(t, table).Version, uint64(2))
+		}
+	})
+}
--- a/runner/discover.go
+++ b/runner/discover.go
@@ -53,6 +53,7 @@
 			continue
 		}
 		failing = false
+		r.restoreArchive(rows)
 		r.sharer.AddPeers(r.decodePeers(rows))
 		if r.sharer.AwaitsHub() {
 			r.informer.AwaitSource(time.Now().Add(hubWait))
@@ -61,6 +62,15 @@
 	}
 }
 
+// restoreArchive applies the archive if it is among rows.
+func (r *Runner) restoreArchive(rows []feeder.Row) {
+	for _, row := range rows {
+		if row.Key == archiveKey {
+			r.archiver.Restore(row.Value)
+		}
+	}
+}
+
 // decodePeers returns the instances in rows. It skips other and malformed rows.
 func (r *Runner) decodePeers(rows []feeder.Row) []sharer.Peer {
 	var peers []sharer.Peer
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"wisteriadrum/acceptor"
+	"wisteriadrum/archiver"
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
 	"wisteriadrum/exposer"
@@ -60,6 +62,7 @@
 	// flushDelay gives the last answers time to be sent before the process ends.
 	flushDelay = 50 * time.Millisecond
 	leaseKey   = "lease/orders"
+	archiveKey = "archive"
 )
 
 // Options are the settings of an instance.
@@ -127,6 +130,7 @@
 	sharer     *sharer.Sharer
 	roller     *roller.Roller
 	informer   *informer.Informer
+	archiver   *archiver.Archiver
 	feeders    []*feeder.Feeder
 	packetConn net.PacketConn
 	stopping   atomic.Bool
@@ -147,6 +151,8 @@
 	r.informer = informer.New(r.feeders, deps.Dial, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, r.informer, count, log, time.Now)
+	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
+	r.archiver = archiver.New(deps.Rows, archiveKey, state, deps.StoreNow, rank, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, Count: count, Log: log, Now: time.Now,
@@ -197,6 +203,7 @@
 	}
 	go r.sharer.Run(background)
 	go r.roller.Run(background)
+	go r.archiver.Run(background)
 	go r.relayer.WatchSilent(background)
 	go r.discoverPeers(background)
 	go r.informer.Run(background, r.sharer.TableSource)
