Let no suspended holder stop the orders of weights

Cause: an instance that was suspended beyond the end of its lease still announced that it led, and its successor announced the same. Each took the other for the leader and waited for it: the successor did not renew its lease either, as the last announcement put it behind the other.

Ruled out: the pause after the last use, and engines that do not report.

Change: an instance whose lease has ended announces at once that it does not lead, and a holder renews its lease whoever announces to lead; the row decides.

TestSuspendedHolderDoesNotStopOrders failed before in both cases (no order in 9 of 12 s).

--- a/roller/lease.go
+++ b/roller/lease.go
@@ -12,11 +12,10 @@
 	"wisteriadrum/pacer"
 )
 
-// acquire acquires or renews the lease if no candidate precedes this instance,
-// and reports whether it holds the lease.
+// acquire renews the lease, or acquires it if no candidate precedes this instance. It
+// reports whether this instance holds the lease.
 func (r *Roller) acquire(ctx context.Context) bool {
-	rank := r.rank()
-	if rank < 0 || r.now().Before(r.vacantSince.Add(time.Duration(rank)*candidateDelay)) || r.now().Before(r.acquireAt) {
+	if r.now().Before(r.acquireAt) || !r.held.Load().Valid(r.now()) && !r.isNext() {
 		return false
 	}
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
@@ -42,6 +41,13 @@
 	return held.Valid(r.now())
 }
 
+// isNext reports whether this instance is a candidate and those that precede it have had
+// time to acquire the lease.
+func (r *Roller) isNext() bool {
+	rank := r.rank()
+	return rank >= 0 && !r.now().Before(r.vacantSince.Add(time.Duration(rank)*candidateDelay))
+}
+
 // rank returns the number of live candidates that precede this instance in
 // acquiring the lease: the last leader, then the others in their order. It is -1
 // if this instance is no candidate.
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -167,21 +167,24 @@
 // outdated.
 func (r *Roller) round(ctx context.Context) bool {
 	now := r.now()
-	if r.hasStopped() || r.rank() < 0 && !r.held.Load().Valid(now) {
+	if r.hasStopped() {
+		return false
+	}
+	held := r.held.Load()
+	if !held.Valid(now) {
+		r.sharer.SetLeading(false) // the lease ends without a renewal while the process is suspended
+	}
+	if r.rank() < 0 && !held.Valid(now) {
 		return false
 	}
 	tasks := r.tasks()
 	if len(tasks) == 0 {
 		r.vacantSince = time.Time{}
-		if !r.held.Load().Valid(now) {
-			r.sharer.SetLeading(false)
-		}
 		return false
 	}
 	if r.vacantSince.IsZero() || r.sharer.OtherLeads() {
 		r.vacantSince = now
 	}
-	held := r.held.Load()
 	if r.retiring.Load() && !held.Valid(now) {
 		return true
 	}
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -256,32 +256,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		engines, table := newFleet(), emulator.New(time.Now).Table()
 		engines.loadTime = 20 * time.Millisecond
-		network := &packetNetwork{conns: map[string]*memoryConn{}}
 		names := []string{"a", "b", "c", "d", "e"}
-		var rollers []*roller.Roller
-		var sharers []*sharer.Sharer
-		var states []*registrar.Registrar
-		for i, name := range names {
-			conn := network.listen(i + 1)
-			state := newState()
-			roll, share := newRoller(name, int64(i+1), conn, state, engines, table)
-			for j, peer := range names {
-				share.AddPeers([]sharer.Peer{{Name: peer, DataCentre: peer, Address: fmt.Sprintf("10.0.0.9:%d", j+1)}})
-			}
-			go func() { _ = share.Listen() }()
-			go share.Run(ctx)
-			go roll.Run(ctx)
-			rollers, sharers, states = append(rollers, roll), append(sharers, share), append(states, state)
-		}
-		time.Sleep(2 * time.Second) // until they have received each other's messages
-		go func() {                 // keeps the engines outdated
-			for version := 2; ctx.Err() == nil; version++ {
-				for _, state := range states {
-					state.AddVersion("m", announced(version))
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
-		}()
+		network, rollers, sharers := connect(ctx, engines, table, names...)
 		for last := len(names) - 1; last > 1; last-- {
 			time.Sleep(8 * time.Second)
 			engines.mu.Lock()
@@ -295,16 +271,76 @@
 			sharers[last].AnnounceLeaving(true)
 		}
 		cancel()
-		time.Sleep(5 * time.Second) // until the updates in progress have ended
-		network.mu.Lock()
-		defer network.mu.Unlock()
-		for _, conn := range network.conns {
-			close(conn.packets)
-		}
-		clear(network.conns)
+		network.end()
 	})
 }
 
+// Guards against an instance that still announces that it leads, as one does that was
+// suspended while it held the lease: the others must not wait for it.
+func TestSuspendedHolderDoesNotStopOrders(t *testing.T) {
+	for name, prepare := range map[string]func(context.Context, *roller.Roller){
+		"until its next round": func(_ context.Context, r *roller.Roller) { r.Retire() },
+		"all the time":         func(ctx context.Context, r *roller.Roller) { r.Stop(ctx) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				engines := newFleet()
+				network, rollers, sharers := connect(ctx, engines, emulator.New(time.Now).Table(), "a", "b")
+				prepare(ctx, rollers[0])
+				sharers[0].SetLeading(true)
+				for range 4 {
+					before := engines.orderCount()
+					time.Sleep(3 * time.Second)
+					assert.Check(t, engines.orderCount() > before)
+				}
+				cancel()
+				network.end()
+			})
+		})
+	}
+}
+
+// connect starts instances in one network whose engines are always outdated. It returns
+// when they have received each other's messages.
+func connect(ctx context.Context, engines *fleet, table tabler.Table, names ...string) (network *packetNetwork, rollers []*roller.Roller, sharers []*sharer.Sharer) {
+	network = &packetNetwork{conns: map[string]*memoryConn{}}
+	var states []*registrar.Registrar
+	for i, name := range names {
+		conn := network.listen(i + 1)
+		state := newState()
+		roll, share := newRoller(name, int64(i+1), conn, state, engines, table)
+		for j, peer := range names {
+			share.AddPeers([]sharer.Peer{{Name: peer, DataCentre: peer, Address: fmt.Sprintf("10.0.0.9:%d", j+1)}})
+		}
+		go func() { _ = share.Listen() }()
+		go share.Run(ctx)
+		go roll.Run(ctx)
+		rollers, sharers, states = append(rollers, roll), append(sharers, share), append(states, state)
+	}
+	time.Sleep(2 * time.Second)
+	go func() {
+		for version := 2; ctx.Err() == nil; version++ {
+			for _, state := range states {
+				state.AddVersion("m", announced(version))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	return network, rollers, sharers
+}
+
+// end closes the connections after the updates in progress have ended.
+func (n *packetNetwork) end() {
+	time.Sleep(5 * time.Second)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range n.conns {
+		close(conn.packets)
+	}
+	clear(n.conns)
+}
+
 // slowTable is a table that delays each call.
 type slowTable struct{ tabler.Table }
 
