Prove that an instance stops announcing a lease that has ended

The case in which nobody leads yet shows it: without the guard no order is given for 12 s. Ruled out: a check on the flag alone, which says nothing of the orders.

--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -257,7 +257,8 @@
 		engines, table := newFleet(), emulator.New(time.Now).Table()
 		engines.loadTime = 20 * time.Millisecond
 		names := []string{"a", "b", "c", "d", "e"}
-		network, rollers, sharers := connect(ctx, engines, table, names...)
+		network, rollers, sharers, states := connect(ctx, engines, table, names...)
+		go keepOutdated(ctx, states)
 		for last := len(names) - 1; last > 1; last-- {
 			time.Sleep(8 * time.Second)
 			engines.mu.Lock()
@@ -278,17 +279,28 @@
 // Guards against an instance that still announces that it leads, as one does that was
 // suspended while it held the lease: the others must not wait for it.
 func TestSuspendedHolderDoesNotStopOrders(t *testing.T) {
-	for name, prepare := range map[string]func(context.Context, *roller.Roller){
-		"until its next round": func(_ context.Context, r *roller.Roller) { r.Retire() },
-		"all the time":         func(ctx context.Context, r *roller.Roller) { r.Stop(ctx) },
+	retire := func(_ context.Context, r *roller.Roller) { r.Retire() }
+	stop := func(ctx context.Context, r *roller.Roller) { r.Stop(ctx) }
+	for _, test := range []struct {
+		name string
+		// prepare keeps the instance from acquiring the lease.
+		prepare func(context.Context, *roller.Roller)
+		// before is how long it announces that it leads before there are orders to send.
+		before time.Duration
+	}{
+		{"while another leads", retire, 0},
+		{"while another leads, all the time", stop, 0},
+		{"while nobody leads", retire, time.Second},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				engines := newFleet()
-				network, rollers, sharers := connect(ctx, engines, emulator.New(time.Now).Table(), "a", "b")
-				prepare(ctx, rollers[0])
+				network, rollers, sharers, states := connect(ctx, engines, emulator.New(time.Now).Table(), "a", "b")
+				test.prepare(ctx, rollers[0])
 				sharers[0].SetLeading(true)
+				time.Sleep(test.before)
+				go keepOutdated(ctx, states)
 				for range 4 {
 					before := engines.orderCount()
 					time.Sleep(3 * time.Second)
@@ -301,11 +313,10 @@
 	}
 }
 
-// connect starts instances in one network whose engines are always outdated. It returns
-// when they have received each other's messages.
-func connect(ctx context.Context, engines *fleet, table tabler.Table, names ...string) (network *packetNetwork, rollers []*roller.Roller, sharers []*sharer.Sharer) {
+// connect starts instances in one network and returns when they have received each
+// other's messages.
+func connect(ctx context.Context, engines *fleet, table tabler.Table, names ...string) (network *packetNetwork, rollers []*roller.Roller, sharers []*sharer.Sharer, states []*registrar.Registrar) {
 	network = &packetNetwork{conns: map[string]*memoryConn{}}
-	var states []*registrar.Registrar
 	for i, name := range names {
 		conn := network.listen(i + 1)
 		state := newState()
@@ -319,15 +330,18 @@
 		rollers, sharers, states = append(rollers, roll), append(sharers, share), append(states, state)
 	}
 	time.Sleep(2 * time.Second)
-	go func() {
-		for version := 2; ctx.Err() == nil; version++ {
-			for _, state := range states {
-				state.AddVersion("m", announced(version))
-			}
-			time.Sleep(100 * time.Millisecond)
+	return network, rollers, sharers, states
+}
+
+// keepOutdated announces newer versions until ctx ends, so that the engines are always
+// outdated.
+func keepOutdated(ctx context.Context, states []*registrar.Registrar) {
+	for version := 2; ctx.Err() == nil; version++ {
+		for _, state := range states {
+			state.AddVersion("m", announced(version))
 		}
-	}()
-	return network, rollers, sharers
+		time.Sleep(100 * time.Millisecond)
+	}
 }
 
 // end closes the connections after the updates in progress have ended.
