Close the connection of an answer without a body that says so

Callers got 502 for a request that was sent on a connection its endpoint had just announced to close, if the answer before was to HEAD, or 204 or 304.

Cause: Connection was only read together with the length of the body, which these answers don't have. Head.Close stayed false, and the connection went back to the pool.

Change: Close is set as the fields are read. Ruled out: an answer with a body, to which this always applied, and HTTP/1.0, which always closes.

TestResetBodies and the other new cases passed before.

--- a/framer/head.go
+++ b/framer/head.go
@@ -172,6 +172,7 @@
 			return ErrMalformed
 		}
 		h.Fields = append(h.Fields, Field{Name: name, Value: value})
+		h.Close = h.Close || strings.EqualFold(name, "Connection") && listContains(value, "close")
 	}
 }
 
@@ -196,8 +197,6 @@
 				return ErrTransferCoding
 			}
 			h.Length = Chunked
-		case "connection":
-			h.Close = h.Close || listContains(field.Value, "close")
 		}
 	}
 	if lengthFields+codingFields > 1 || codingFields > 0 && h.HTTP10 {
--- a/framer/head_test.go
+++ b/framer/head_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"gotest.tools/v3/assert"
 
@@ -55,25 +57,41 @@
 	}
 }
 
+// Guards against a connection that is reused although its last answer, which needs no
+// length, says that it closes.
 func TestResponseHeads(t *testing.T) {
 	for name, test := range map[string]struct {
 		text, method string
 		length       int64
+		closes       bool
 	}{
-		"length":                 {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "GET", 3},
-		"until close":            {"HTTP/1.1 200\r\n\r\n", "GET", framer.UntilClose},
-		"no content":             {"HTTP/1.1 204 No Content\r\n\r\n", "GET", 0},
-		"to HEAD":                {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD", 0},
-		"after interim response": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "POST", 3},
+		"length":                 {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "GET", 3, false},
+		"until close":            {"HTTP/1.1 200\r\n\r\n", "GET", framer.UntilClose, false},
+		"until close, 1.0":       {"HTTP/1.0 200 OK\r\n\r\n", "GET", framer.UntilClose, true},
+		"length, 1.0":            {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 3\r\n\r\n", "GET", 3, true},
+		"closing":                {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\n", "GET", 3, true},
+		"no content":             {"HTTP/1.1 204 No Content\r\n\r\n", "GET", 0, false},
+		"no content, closing":    {"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n", "GET", 0, true},
+		"not modified, length":   {"HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n", "GET", 0, false},
+		"to HEAD":                {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD", 0, false},
+		"to HEAD, closing":       {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nconnection: x, Close\r\n\r\n", "HEAD", 0, true},
+		"after interim response": {"HTTP/1.1 100 Continue\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "POST", 3, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			head, err := framer.ReadResponse(read(test.text), headLimit, test.method)
 			assert.NilError(t, err)
 			assert.Equal(t, head.Length, test.length)
+			assert.Equal(t, head.Close, test.closes)
 		})
 	}
-	_, err := framer.ReadResponse(read("garbage without a version\r\n\r\n"), headLimit, "GET")
-	assert.ErrorIs(t, err, framer.ErrMalformed)
+	for name, text := range map[string]string{
+		"no version":     "garbage without a version\r\n\r\n",
+		"chunked in 1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"two framings":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+	} {
+		_, err := framer.ReadResponse(read(text), headLimit, "GET")
+		assert.ErrorIs(t, err, framer.ErrMalformed, name)
+	}
 }
 
 // A body is complete only at its own end, even if the connection ends earlier.
@@ -95,6 +113,7 @@
 		"huge chunk size":        {framer.Chunked, "ffffffffffff\r\n", "", framer.ErrMalformed},
 		"above the limit":        {framer.Chunked, "7\r\nmuchtoo\r\n9\r\nlarge4you\r\n0\r\n\r\n", "", framer.ErrTooLarge},
 		"until close":            {framer.UntilClose, "body", "body", nil},
+		"until close, too large": {framer.UntilClose, "muchtoolarge", "", framer.ErrTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			body, err := (&framer.Head{Length: test.length}).ReadBody(read(test.text), 8)
@@ -108,6 +127,16 @@
 	}
 }
 
+// Guards against a body that is taken for complete although its connection was reset.
+func TestResetBodies(t *testing.T) {
+	for name, head := range map[string]framer.Head{"counted": {Length: 8}, "chunked": {Length: framer.Chunked}, "until close": {Length: framer.UntilClose}} {
+		text := map[bool]string{true: "4\r\nbody\r\n", false: "body"}[head.Length == framer.Chunked]
+		reader := bufio.NewReader(io.MultiReader(strings.NewReader(text), iotest.ErrReader(syscall.ECONNRESET)))
+		_, err := head.ReadBody(reader, 8)
+		assert.ErrorIs(t, err, syscall.ECONNRESET, name)
+	}
+}
+
 func TestHopFields(t *testing.T) {
 	head, err := framer.ReadRequest(read("GET / HTTP/1.1\r\nConnection: X-Own, close\r\nX-Own: a\r\nKeep-Alive: timeout=3\r\nX-Other: b\r\n\r\n"), headLimit)
 	assert.NilError(t, err)
