Send no body with a refusal of a HEAD request

A caller that sends HEAD on a kept connection, and is refused, took the reason of the refusal for the head of its next answer.

Cause: only answers of endpoints left the body out for HEAD, those of the router did not.

Change: the responder knows the method from the head of the request, so that no writer of an answer can forget it. An empty stream in answer to HEAD has no length of 0 any more, which would be one that the endpoint did not give.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -301,5 +301,5 @@
 // writeRefusal writes a refusal as the answer.
 func (s *session) writeRefusal(answer *responder.Responder, id string, refusal *refuser.Refusal) {
 	status, fields := s.translator.EncodeRefusal(id, refusal, s.now())
-	answer.WriteAnswer(status, fields, []byte(refusal.Reason+"\n"), true)
+	answer.WriteAnswer(status, fields, []byte(refusal.Reason+"\n"))
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -236,7 +236,7 @@
 	if head.Status < 500 {
 		a.endpoint.RecordAnswer(float64(r.deps.Now().Sub(a.sentAt).Milliseconds()), a.choice.UnscaledMillis, r.deps.Now())
 	}
-	a.answer.WriteAnswer(head.Status, endToEndFields(head), body, a.request.Head.Method != "HEAD")
+	a.answer.WriteAnswer(head.Status, endToEndFields(head), body)
 	return reusable, r.deliveryRefusal(a)
 }
 
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -56,7 +56,7 @@
 	}
 	reusable := r.reusable(a, head, response, nil)
 	if !a.answer.Begun() {
-		a.answer.WriteAnswer(head.Status, endToEndFields(head), nil, true)
+		a.answer.WriteAnswer(head.Status, endToEndFields(head), nil)
 	} else {
 		a.answer.EndStream()
 	}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -19,6 +19,7 @@
 	now        func() time.Time
 	closeAfter bool
 	http10     bool
+	headOnly   bool // the answer to HEAD has no body
 	begun      bool
 	ended      bool
 	err        error
@@ -28,19 +29,22 @@
 // an unreadable one. If closeAfter is set, the connection is closed after the
 // answer.
 func New(conn net.Conn, head *framer.Head, now func() time.Time, closeAfter bool) *Responder {
-	return &Responder{conn: conn, now: now, closeAfter: closeAfter || head != nil && head.Close, http10: head != nil && head.HTTP10}
+	if head == nil {
+		head = &framer.Head{}
+	}
+	return &Responder{conn: conn, now: now, closeAfter: closeAfter || head.Close, http10: head.HTTP10, headOnly: head.Method == http.MethodHead}
 }
 
-// WriteAnswer writes a complete answer, without the body if withBody is false.
-func (r *Responder) WriteAnswer(status int, fields []framer.Field, body []byte, withBody bool) {
+// WriteAnswer writes a complete answer, without the body if the request is HEAD.
+func (r *Responder) WriteAnswer(status int, fields []framer.Field, body []byte) {
 	buffer := r.encodeHead(status, fields)
-	if status != http.StatusNoContent && status != http.StatusNotModified && withBody {
+	if status != http.StatusNoContent && status != http.StatusNotModified && !r.headOnly {
 		buffer = append(buffer, "Content-Length: "...)
 		buffer = strconv.AppendInt(buffer, int64(len(body)), 10)
 		buffer = append(buffer, "\r\n"...)
 	}
 	buffer = append(buffer, "\r\n"...)
-	if withBody {
+	if !r.headOnly {
 		buffer = append(buffer, body...)
 	}
 	r.begun, r.ended = true, true
