Break off a stream that its next endpoint refuses to go on with

A caller whose stream had broken off and was to go on at another endpoint got the head and the body of that endpoint's answer inside its stream if that was, say, 500, 404 or 301. A caller that uses HTTP/1.0, whose body ends with the connection, took this for a complete stream.

Cause: an answer that is not a stream was written as a whole, also after the head of the stream. The responder then held it for complete, and so did the session.

Change: such an answer fails the attempt. It goes on at one more endpoint if the route and the budget allow it, otherwise the caller's connection is reset.

Ruled out: 503 and 421, which state that nothing has run and were never written.

Failed before: TestResumedStreamFails (err is nil: HTTP/1.1: the caller's connection is closed as after a complete answer).

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -226,6 +226,9 @@
 		return false, refuser.New(refuser.AnswerMismatch, judge.MayHaveRun, "endpoint %s did not mark its answer", a.entry.Name)
 	}
 	reusable := r.reusable(a, head, response, nil)
+	if a.answer.Begun() {
+		return reusable, refuser.New(refuser.Rejected, judge.Ran, "endpoint %s answered %d to a resumed stream", a.entry.Name, head.Status)
+	}
 	if head.Status >= 500 && a.request.Repeatable() {
 		a.runs++
 		if r.reserveRetry(ctx, a.exchange, refuser.New(refuser.Rejected, judge.Ran, "")) {
