Send a request elsewhere without the rest of a refusal that has no length

A caller whose request an endpoint refused without running it waited until its deadline and got 503, if the refusal came with neither a length nor chunks and the endpoint left the connection open, though other endpoints had room.

Cause: the body of such an answer was read to its end, so that the connection could be used again, which it never can without a length.

Change: the body is read only if its end is known.

Ruled out: refusals with a length or chunks that stall; these are still read until the deadline.

Failed before: TestUnframedAnswers, 'not run, connection kept' (503 (int) != 200).

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -200,7 +200,10 @@
 
 // handleNotRun handles an answer which states that the request did not run.
 func (r *Relayer) handleNotRun(a *attempt, head *framer.Head, response translator.Answer) (bool, *refuser.Refusal) {
-	_, err := head.ReadBody(a.conn.Reader, maxStrayBytes)
+	var err error
+	if head.Length != framer.UntilClose { // otherwise the connection is closed in any case
+		_, err = head.ReadBody(a.conn.Reader, maxStrayBytes)
+	}
 	if !response.WrongTarget || a.weights == a.endpoint.Weights(a.request.Model) {
 		a.endpoint.RecordFailure(r.deps.Now())
 	}
