Relay a service's answers with status 204 and 304

A caller of the product's own interface got answer-lost (may-have-run) when the service answered 204 or 304, on an at-most-once route for good, otherwise after all retries.

Cause: such an answer has no body and mostly no length, or with 304 the length of another answer. The dialer handed on the length of the head, which the attempter takes for an answer that ends with its connection, or for one that was cut.

Change: the length of an answer without a body is 0, as it was for HEAD.

Ruled out: an answer with a body and without a length, which stays refused on this interface: an endpoint that ends closes its connection as after a complete answer, and a cut answer would be recorded.

Failed before: TestAnswersWithoutLength (0 != 204, answer-lost: endpoint s did not say how long its answer is), TestEndsOfAnswers (-2 (answer.Length int) != 0). The other cases of TestEndsOfAnswers, and TestEndlessHead, passed before.

--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -1,7 +1,9 @@
 package attempter_test
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 	"wisteriadrum/dialer"
 	"wisteriadrum/emulator"
 	"wisteriadrum/follower"
+	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/keeper"
 	"wisteriadrum/mapper"
@@ -93,6 +96,48 @@
 	assert.Equal(t, count.Value("retry", "round"), int64(0))
 }
 
+// Guards against an answer that is taken for lost though it needs no body, and against one
+// that is recorded though it may have been cut: without a length, an endpoint that ends
+// closes its connection as after a complete answer.
+func TestAnswersWithoutLength(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		status int
+		code   refuser.Code
+	}{
+		"no content":           {"HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+		"not modified":         {"HTTP/1.1 304 Not Modified\r\n\r\n", 304, ""},
+		"not modified, length": {"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", 304, ""},
+		"body":                 {"HTTP/1.1 200 OK\r\n\r\nbody", 0, refuser.AnswerLost},
+		"HTTP/1.0":             {"HTTP/1.0 200 OK\r\n\r\nbody", 0, refuser.AnswerLost},
+		"refusal":              {"HTTP/1.1 503 Busy\r\nX-Verdict: not-run\r\n\r\nfull", 0, refuser.UpstreamBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			dial := dialer.New(func(string) (net.Conn, error) { return answeringConn(t, test.answer), nil }, time.Now)
+			attempts, request := newAttempter(t, dial, quarantiner.New(), counter.New(metrics.NewRegistry()), now, now)
+			answer, err := attempts.Run(t.Context(), request)
+			assert.Equal(t, answer.Status, test.status, "%v", err)
+			if test.code != "" {
+				assert.Equal(t, err.(*refuser.Refusal).Code, test.code)
+			}
+		})
+	}
+}
+
+// answeringConn returns a connection to an endpoint that reads a request, sends answer
+// and leaves the connection open.
+func answeringConn(t *testing.T, answer string) net.Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go func() {
+		_, _ = framer.ReadRequest(bufio.NewReader(far), 1<<16)
+		_, _ = far.Write([]byte(answer))
+	}()
+	return near
+}
+
 // A process that is suspended between claiming a request and sending it may
 // resume after the claim has expired, when another instance may have run the
 // request. It must not send the request then, and the verdict must be "not run".
--- /dev/null
+++ b/dialer/dialer_test.go
@@ -0,0 +1,129 @@
+package dialer_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/caller"
+	"wisteriadrum/dialer"
+	"wisteriadrum/framer"
+	"wisteriadrum/judge"
+)
+
+// ending is what an endpoint does with a connection after its answer.
+type ending int
+
+const (
+	keeps ending = iota
+	closes
+	resets
+)
+
+// serve answers each request on a new listener with answer, and returns its address.
+func serve(t *testing.T, answer string, end ending) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerAll(conn, answer, end)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerAll(conn net.Conn, answer string, end ending) {
+	defer conn.Close() //nolint:errcheck // not checked in a test
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := framer.ReadRequest(reader, 1<<16); err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte(answer))
+		switch end {
+		case closes:
+			return
+		case resets:
+			time.Sleep(50 * time.Millisecond) // until the bytes sent before have arrived
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+// Guards against an answer that is taken for complete though its connection was lost,
+// and against a connection that is reused though its answer ends with it.
+func TestEndsOfAnswers(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, test := range map[string]struct {
+		answer   string
+		end      ending
+		body     string
+		complete bool
+		reused   bool
+	}{
+		"length":               {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", keeps, "body", true, true},
+		"length, cut":          {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody", closes, "body", false, false},
+		"length, closing":      {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody", keeps, "body", true, false},
+		"chunks":               {chunked + "4\r\nbody\r\n0\r\n\r\n", keeps, "body", true, true},
+		"chunks, cut":          {chunked + "4\r\nbody\r\n", closes, "body", false, false},
+		"unframed, closed":     {"HTTP/1.1 200 OK\r\n\r\nbody", closes, "body", true, false},
+		"unframed, reset":      {"HTTP/1.1 200 OK\r\n\r\nbody", resets, "body", false, false},
+		"unframed, open":       {"HTTP/1.1 200 OK\r\n\r\nbody", keeps, "body", false, false},
+		"unframed, says kept":  {"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nbody", closes, "body", true, false},
+		"HTTP/1.0, closed":     {"HTTP/1.0 200 OK\r\n\r\nbody", closes, "body", true, false},
+		"HTTP/1.0, reset":      {"HTTP/1.0 200 OK\r\n\r\nbody", resets, "body", false, false},
+		"HTTP/1.0, length":     {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", keeps, "body", true, false},
+		"no content":           {"HTTP/1.1 204 No Content\r\n\r\n", keeps, "", true, true},
+		"no content, closing":  {"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n", keeps, "", true, false},
+		"not modified":         {"HTTP/1.1 304 Not Modified\r\n\r\n", keeps, "", true, true},
+		"not modified, length": {"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", keeps, "", true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dials := 0
+			dial := dialer.New(func(address string) (net.Conn, error) {
+				dials++
+				return net.Dial("tcp", address)
+			}, time.Now)
+			address := serve(t, test.answer, test.end)
+			for range 2 {
+				answer, err := dial.Send(newCall(address, "GET"))
+				assert.NilError(t, err)
+				body, err := io.ReadAll(answer.Body)
+				answer.Close(err == nil)
+				assert.Equal(t, string(body), test.body)
+				assert.Equal(t, err == nil, test.complete, "%v", err)
+				if test.body == "" {
+					assert.Equal(t, answer.Length, 0)
+				}
+			}
+			assert.Equal(t, dials == 1, test.reused)
+		})
+	}
+}
+
+// Guards against a head without end that is held without bound.
+func TestEndlessHead(t *testing.T) {
+	address := serve(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X-More: more\r\n", 1<<16), keeps)
+	dial := dialer.New(func(address string) (net.Conn, error) { return net.Dial("tcp", address) }, time.Now)
+	_, err := dial.Send(newCall(address, "GET"))
+	assert.Equal(t, judge.FromError(err), judge.MayHaveRun, "%v", err)
+}
+
+func newCall(address, method string) caller.Call {
+	return caller.Call{
+		Address: address, Method: method, Path: "/", FirstByteDeadline: time.Now().Add(time.Second),
+		IdleDeadline: func(now time.Time) time.Time { return now.Add(200 * time.Millisecond) },
+	}
+}
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -190,8 +190,8 @@
 		Reason:      string(head.Peek(HeaderReason)),
 		Length:      head.ContentLength(),
 	}
-	if response.SkipBody {
-		answer.Length = 0
+	if response.SkipBody || answer.Status == fasthttp.StatusNoContent || answer.Status == fasthttp.StatusNotModified {
+		answer.Length = 0 // no body, whatever length the head gives
 	}
 	awaitingFirstByte := true
 	answer.Body = readerFunc(func(buffer []byte) (int, error) {
