End a stream at its closing event if its connection stays open

On the product's own interface a caller got the end of its stream late, by up to the route's idle timeout, if the engine sent the closing event in an answer with neither a length nor chunks and left the connection open.

Cause: the rest of a complete stream is read so that its connection can be reused, also where it cannot be, since only the end of the connection ends the answer.

Change: such a rest is not read. The length of such an answer has one name, UntilClose, instead of one in the dialer and one in the attempter.

Ruled out: a stream in chunks whose last chunk is late, which still delays the end; its connection is reused otherwise.

Failed before: TestEndsOfStreams, 'unframed, left open' (time.Since(startedAt) is >= 2 * time.Second, 3.00 s). Its other cases, streams that are closed or reset after and inside an event, passed before.

--- a/answerer/answer.go
+++ b/answerer/answer.go
@@ -3,6 +3,9 @@
 
 import "io"
 
+// UntilClose is the length of a body that ends when the connection is closed.
+const UntilClose = -2
+
 // Answer is the header and the body of an endpoint's answer. The receiver must
 // call Close.
 type Answer struct {
@@ -23,7 +26,7 @@
 	Refused bool
 	// Reason is the endpoint's reason for a refusal.
 	Reason string
-	// Length is the size of the body in bytes, or -1 for a chunked one.
+	// Length is the size of the body in bytes, -1 for a chunked one, or UntilClose.
 	Length int
 	Body   io.Reader
 	// Finish releases the connection; Close calls it at most once.
--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -23,12 +23,11 @@
 )
 
 const (
-	attemptLimit     = 6 // per request
-	maxAnswerBytes   = 16 << 20
-	switchDelay      = 20 * time.Millisecond
-	maxRounds        = 2 // additional rounds over all endpoints
-	roundDelay       = 50 * time.Millisecond
-	lengthUntilClose = -2 // Answer.Length of a body that ends when the connection is closed
+	attemptLimit   = 6 // per request
+	maxAnswerBytes = 16 << 20
+	switchDelay    = 20 * time.Millisecond
+	maxRounds      = 2 // additional rounds over all endpoints
+	roundDelay     = 50 * time.Millisecond
 )
 
 // Attempter sends requests to plain services.
@@ -128,7 +127,7 @@
 	if answer.Refused {
 		return recorder.Answer{}, refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s: %s", track.Endpoint.Name, answer.Reason)
 	}
-	if answer.Length == lengthUntilClose {
+	if answer.Length == answerer.UntilClose {
 		return recorder.Answer{}, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "endpoint %s did not say how long its answer is", track.Endpoint.Name)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -210,7 +210,7 @@
 		awaitingFirstByte = awaitingFirstByte && n == 0
 		return n, err
 	})
-	reusable := !head.ConnectionClose() && answer.Length != lengthUntilClose
+	reusable := !head.ConnectionClose() && answer.Length != answerer.UntilClose
 	answer.Finish = func(complete bool) {
 		if !complete || !reusable {
 			// Closes the connection first, because closing the body stream
@@ -226,10 +226,6 @@
 	return answer
 }
 
-// lengthUntilClose is fasthttp's content length of a body that is delimited by the
-// end of the connection.
-const lengthUntilClose = -2
-
 type readerFunc func([]byte) (int, error)
 
 func (r readerFunc) Read(buffer []byte) (int, error) { return r(buffer) }
--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -251,7 +251,8 @@
 			return errTruncated
 		}
 		if event.Data == chunker.Done {
-			return discardRest(answer.Body)
+			discardRest(answer)
+			return nil
 		}
 		if err := a.relayEvent(sequence, event.Data); err != nil {
 			return err
@@ -300,8 +301,9 @@
 }
 
 // discardRest reads the rest of a complete stream, so that its connection can be
-// reused.
-func discardRest(body io.Reader) error {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxReasonBytes))
-	return nil
+// reused. It does not wait for the end of a connection that cannot be.
+func discardRest(answer *answerer.Answer) {
+	if answer.Length != answerer.UntilClose {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReasonBytes))
+	}
 }
