Reuse a connection only after the end of its answer

On the product's own interface a request could fail with answer-mismatch, or as lost, although its endpoint was sound: on a connection whose last answer had a rest that arrived late, such as the last chunk of a stream after its closing event.

Cause: an answer closed as complete returned its connection to the pool also if the end of its body had not been read.

Change: the dialer reuses a connection if the body was read to its end, or has none.

Ruled out: a wrong answer that was relayed; the attempt's id prevents it.

Failed before: TestUnreadRestIsNotReused (1 (dials int) != 2 (int)). After: go test -race ./dialer ./attempter ./streamer, ./launcher (95.2 s), ./cmd/wisteriadrum (39.5 s).

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -113,6 +113,25 @@
 	}
 }
 
+// Guards against a connection that is reused before the end of its last answer, whose rest
+// would be taken for the next one.
+func TestUnreadRestIsNotReused(t *testing.T) {
+	dials := 0
+	dial := dialer.New(func(address string) (net.Conn, error) {
+		dials++
+		return net.Dial("tcp", address)
+	}, time.Now)
+	address := serve(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", keeps)
+	for range 2 {
+		answer, err := dial.Send(newCall(address, "GET"))
+		assert.NilError(t, err)
+		_, err = io.ReadFull(answer.Body, make([]byte, 4))
+		assert.NilError(t, err)
+		answer.Close(true)
+	}
+	assert.Equal(t, dials, 2)
+}
+
 // Guards against a head without end that is held without bound.
 func TestEndlessHead(t *testing.T) {
 	address := serve(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X-More: more\r\n", 1<<16), keeps)
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -193,7 +193,7 @@
 	if response.SkipBody || answer.Status == fasthttp.StatusNoContent || answer.Status == fasthttp.StatusNotModified {
 		answer.Length = 0 // no body, whatever length the head gives
 	}
-	awaitingFirstByte := true
+	awaitingFirstByte, ended := true, response.BodyStream() == nil
 	answer.Body = readerFunc(func(buffer []byte) (int, error) {
 		deadline := call.IdleDeadline(d.now())
 		if awaitingFirstByte && call.FirstByteDeadline.After(deadline) {
@@ -207,19 +207,21 @@
 			return 0, io.EOF
 		}
 		n, err := body.Read(buffer)
+		ended = errors.Is(err, io.EOF)
 		awaitingFirstByte = awaitingFirstByte && n == 0
 		return n, err
 	})
 	reusable := !head.ConnectionClose() && answer.Length != answerer.UntilClose
 	answer.Finish = func(complete bool) {
-		if !complete || !reusable {
-			// Closes the connection first, because closing the body stream
-			// would otherwise read the rest of the body.
+		// Closing the body stream reads nothing, so that a rest of the body would
+		// precede the next answer.
+		reusable = reusable && complete && ended
+		if !reusable {
 			_ = conn.Close()
 		}
 		_ = response.CloseBodyStream()
 		fasthttp.ReleaseResponse(response)
-		if complete && reusable {
+		if reusable {
 			d.pool.Put(call.Address, conn, time.Time{})
 		}
 	}
