--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -200,7 +200,10 @@
 
 // handleNotRun handles an answer which states that the request did not run.
 func (r *Relayer) handleNotRun(a *attempt, head *framer.Head, response translator.Answer) (bool, *refuser.Refusal) {
-	_, err := head.ReadBody(a.conn.Reader, maxStrayBytes)
+	var err error
+	if head.Length != framer.UntilClose { // otherwise the connection is closed in any case
+		_, err = head.ReadBody(a.conn.Reader, maxStrayBytes)
+	}
 	if !response.WrongTarget || a.weights == a.endpoint.Weights(a.request.Model) {
 		a.endpoint.RecordFailure(r.deps.Now())
 	}
@@ -226,6 +229,9 @@
 		return false, refuser.New(refuser.AnswerMismatch, judge.MayHaveRun, "endpoint %s did not mark its answer", a.entry.Name)
 	}
 	reusable := r.reusable(a, head, response, nil)
+	if a.answer.Begun() {
+		return reusable, refuser.New(refuser.Rejected, judge.Ran, "endpoint %s answered %d to a resumed stream", a.entry.Name, head.Status)
+	}
 	if head.Status >= 500 && a.request.Repeatable() {
 		a.runs++
 		if r.reserveRetry(ctx, a.exchange, refuser.New(refuser.Rejected, judge.Ran, "")) {
@@ -236,7 +242,7 @@
 	if head.Status < 500 {
 		a.endpoint.RecordAnswer(float64(r.deps.Now().Sub(a.sentAt).Milliseconds()), a.choice.UnscaledMillis, r.deps.Now())
 	}
-	a.answer.WriteAnswer(head.Status, endToEndFields(head), body, a.request.Head.Method != "HEAD")
+	a.answer.WriteAnswer(head.Status, endToEndFields(head), body)
 	return reusable, r.deliveryRefusal(a)
 }
 
