Refuse prompts with a part that crashes engines

Callers lost their streams again and again: one part of a prompt crashed each engine that began to answer on it, in requests of which no two were alike.

Cause: the quarantine knows a request by its body, so it never saw one twice.

Evidence: the crashes follow one part, the second or third of the prompt; the requests that crashed engines had no first event, others lost with them mostly had. The first part, the key and, in conversations, the parts before the cause are shared with prompts that are answered.

Change: package detector keeps evidence for each part of a prompt but the last. It counts crashes in succession: of requests that were sent after their sender knew of the crash before, and that had no first event. After three (five for a first part) the part with most evidence is refused for ten minutes, of several the deepest, with the time as Retry-After; the others are left with the evidence of one crash (two), under a new epoch. The beginning of an answer makes the evidence against its parts void, also under a new epoch, so that late reports do not count. Instances send the evidence at once, and heartbeats repeat it. The log of a lost attempt says whether the endpoint was taken as crashed, whether the answer had begun, and which parts are suspect.

The datagram has a 19th field, so instances of the two versions drop each other's datagrams while one replaces the other. The raw datagrams of the tests have the field too, and the fuzz corpus a long list at that length.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -15,6 +15,7 @@
 	"wisteriadrum/acceptor"
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/framer"
 	"wisteriadrum/pooler"
 	"wisteriadrum/quarantiner"
@@ -52,7 +53,7 @@
 	var decoded atomic.Int64
 	translate := refusingTranslator{decoded: &decoded}
 	relay := relayer.New(relayer.Dependencies{
-		Translator: translate, Registrar: state, Pool: pooler.New(nil, time.Now), Quarantine: quarantiner.New(), RetryRule: budgeter.Default(),
+		Translator: translate, Registrar: state, Pool: pooler.New(nil, time.Now), Quarantine: quarantiner.New(), Detector: detector.New(), RetryRule: budgeter.Default(),
 		Count: count, Log: zap.NewNop(), Now: time.Now,
 	})
 	answered := int64(0)
@@ -137,7 +138,7 @@
 	var decoded atomic.Int64
 	translate := refusingTranslator{decoded: &decoded}
 	relay := relayer.New(relayer.Dependencies{
-		Translator: translate, Registrar: state, Pool: pooler.New(nil, time.Now), Quarantine: quarantiner.New(), RetryRule: budgeter.Default(),
+		Translator: translate, Registrar: state, Pool: pooler.New(nil, time.Now), Quarantine: quarantiner.New(), Detector: detector.New(), RetryRule: budgeter.Default(),
 		Count: count, Log: zap.NewNop(), Now: time.Now,
 	})
 	accepting := acceptor.New(translate, state, relay, count, zap.NewNop(), time.Now)
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -25,6 +25,7 @@
 	NoConfiguration Code = "no-set"
 	Stopping        Code = "stopping"
 	Quarantined     Code = "quarantined"
+	PartQuarantined Code = "part-quarantined"
 	KeyRequired     Code = "key-required"
 	KeyReused       Code = "key-reused"
 	InDoubt         Code = "in-doubt"
@@ -46,7 +47,7 @@
 var statuses = map[Code]int{
 	BadRequest: 400, Unauthorized: 401, Forbidden: 403, NoRoute: 404,
 	TooLarge: 413, TooDeep: 413, RateLimited: 429, Overloaded: 503,
-	NoEndpoint: 503, NoConfiguration: 503, Stopping: 503, Quarantined: 422,
+	NoEndpoint: 503, NoConfiguration: 503, Stopping: 503, Quarantined: 422, PartQuarantined: 422,
 	KeyRequired: 400, KeyReused: 422, InDoubt: 409, ClaimFailed: 503, PlatformFailed: 503,
 	UpstreamLost: 502, UpstreamBusy: 503, WrongWeights: 503,
 	AnswerMismatch: 502, AnswerLost: 502, Timeout: 504, Silent: 504, CallerGone: 499,
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"wisteriadrum/detector"
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
@@ -43,6 +44,11 @@
 	sentAt        time.Time
 	weights       int
 	writeDone     chan error
+	// marks is the evidence against the parts of the prompt when the request was
+	// sent.
+	marks []detector.Suspect
+	// begun reports that the endpoint began to answer.
+	begun bool
 	// saveStore is the store to which the endpoint saves the cached parts, or
 	// nil.
 	saveStore *monitor.Monitor
@@ -60,6 +66,7 @@
 
 // runAttempt sends the request to the chosen endpoint and relays the answer.
 func (r *Relayer) runAttempt(ctx context.Context, e *exchange) *refuser.Refusal {
+	e.loss = nil
 	a := &attempt{exchange: e, entry: e.endpoint.Entry(), prefillTokens: e.choice.PrefillTokens}
 	if e.request.Model != "" {
 		a.weights = e.endpoint.Weights(e.request.Model)
@@ -123,6 +130,7 @@
 // send writes the request, large ones in a separate goroutine.
 func (r *Relayer) send(a *attempt) *refuser.Refusal {
 	a.sends++
+	a.marks = r.deps.Detector.Marks(a.request, r.deps.Now())
 	buffer := make([]byte, 0, 1024+min(len(a.request.Body), concurrentWriteBytes))
 	buffer = r.deps.Translator.EncodeRequest(buffer, a.request, a.sendOptions(), a.sentAt)
 	if len(a.request.Body) > concurrentWriteBytes {
@@ -233,6 +241,9 @@
 			return reusable, refuser.New(refuser.Rejected, judge.Ran, "endpoint %s answered %d", a.entry.Name, head.Status)
 		}
 	}
+	if head.Status < 300 {
+		r.recordBegin(a)
+	}
 	if head.Status < 500 {
 		a.endpoint.RecordAnswer(float64(r.deps.Now().Sub(a.sentAt).Milliseconds()), a.choice.UnscaledMillis, r.deps.Now())
 	}
@@ -284,10 +295,12 @@
 	switch {
 	case lost && r.accepts(a.entry.Address):
 		a.endpoint.RecordReset(now)
+		a.loss = &loss{begun: a.begun}
 	case lost:
 		a.endpoint.RecordFailure(now)
 		crash := quarantiner.Crash{Endpoint: a.entry.Name, Incarnation: strconv.FormatInt(a.entry.Incarnation, 10)}
 		r.deps.AnnounceCrash(r.deps.Quarantine.RecordCrash(a.request.Fingerprint, crash, now))
+		r.recordCrash(a, now)
 	default:
 		a.endpoint.RecordFailure(now)
 	}
--- /dev/null
+++ b/relayer/crash.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/detector"
+)
+
+// loss is how an attempt lost its connection.
+type loss struct {
+	// crashed reports that the endpoint was taken as crashed, begun that it had begun
+	// to answer.
+	crashed, begun bool
+	// suspects is the evidence against the parts of the prompt that changed.
+	suspects []detector.Suspect
+}
+
+// recordCrash records that the endpoint crashed while it ran the attempt. The crash
+// is no evidence against the prompt if the endpoint had begun to answer.
+func (r *Relayer) recordCrash(a *attempt, now time.Time) {
+	a.loss = &loss{crashed: true, begun: a.begun}
+	if a.begun {
+		return
+	}
+	changed, refused, found := r.deps.Detector.RecordCrash(a.request, a.marks, now)
+	a.loss.suspects = changed
+	if len(changed) == 0 {
+		return
+	}
+	r.deps.Count.Add("quarantine", "crashes")
+	r.deps.AnnounceSuspects(changed)
+	if found {
+		r.deps.Count.Add("quarantine", "parts")
+		r.deps.Log.Warn("part of prompts refused", a.partFields(refused)...)
+	}
+}
+
+// recordBegin records that the endpoint began to answer, which proves the parts of the
+// prompt sound.
+func (r *Relayer) recordBegin(a *attempt) {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	void, cleared := r.deps.Detector.RecordAnswer(a.request, r.deps.Now())
+	if len(cleared) == 0 {
+		return
+	}
+	r.deps.AnnounceSuspects(cleared)
+	r.deps.Count.AddMany("quarantine", "cleared", len(cleared))
+	for _, part := range void {
+		level := zap.InfoLevel // parts that share an endpoint with the cause are suspect for a moment
+		if part.Refused {
+			level = zap.WarnLevel
+		}
+		r.deps.Log.Log(level, "part of prompts cleared", a.partFields(part)...)
+	}
+}
+
+// partFields returns the log fields of an event about a part of the prompt.
+func (a *attempt) partFields(part detector.Suspect) []zap.Field {
+	return []zap.Field{
+		zap.String("part", part.Name), zap.Int("level", part.Level), zap.Bool("refused", part.Refused), zap.Time("until", part.Until),
+		zap.String("request", a.request.ID), zap.String("workspace", a.request.Workspace.Name), zap.String("model", a.request.Model), zap.String("endpoint", a.entry.Name),
+	}
+}
+
+// fields returns the log fields of a loss, none if l is nil.
+func (l *loss) fields() []zap.Field {
+	if l == nil {
+		return nil
+	}
+	suspects := make([]string, len(l.suspects))
+	for i, part := range l.suspects {
+		suspects[i] = fmt.Sprintf("%s=%d", part.Name, part.Level)
+	}
+	return []zap.Field{zap.Bool("crashed", l.crashed), zap.Bool("begun", l.begun), zap.Strings("suspects", suspects)}
+}
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -14,7 +14,8 @@
 	r.deps.Count.Observe("answer.millis", elapsed.Milliseconds())
 	if refusal != nil {
 		r.deps.Count.Add("refusal", string(refusal.Code))
-		r.deps.Log.Warn("request ended", append(r.logFields(e, elapsed), outcomeFields(refusal)...)...)
+		fields := append(r.logFields(e, elapsed), outcomeFields(refusal)...)
+		r.deps.Log.Warn("request ended", append(fields, e.loss.fields()...)...)
 		return
 	}
 	if e.request.Route.Stream {
@@ -40,7 +41,7 @@
 func (r *Relayer) logFailedAttempt(e *exchange, cause *refuser.Refusal) {
 	r.deps.Count.Add("retry", string(cause.Code))
 	fields := append(r.logFields(e, r.deps.Now().Sub(e.request.ReceivedAt)), outcomeFields(cause)...)
-	r.deps.Log.Warn("attempt failed; the request goes on", fields...)
+	r.deps.Log.Warn("attempt failed; the request goes on", append(fields, e.loss.fields()...)...)
 }
 
 // outcomeFields returns the log fields of a refusal.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -12,6 +12,7 @@
 
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
@@ -62,6 +63,8 @@
 	Registrar  *registrar.Registrar
 	Pool       *pooler.Pool
 	Quarantine *quarantiner.Registry
+	// Detector finds the parts of prompts that crash endpoints.
+	Detector *detector.Detector
 	// RetryRule limits the retries of each pool.
 	RetryRule budgeter.Rule
 	// DataCentre is the data centre of this instance.
@@ -78,9 +81,12 @@
 	// AnnounceCrash announces to the other instances that a request crashed an
 	// endpoint.
 	AnnounceCrash func(quarantiner.Case)
-	Count         *counter.Counter
-	Log           *zap.Logger
-	Now           func() time.Time
+	// AnnounceSuspects announces to the other instances what is known of parts that
+	// may crash endpoints.
+	AnnounceSuspects func([]detector.Suspect)
+	Count            *counter.Counter
+	Log              *zap.Logger
+	Now              func() time.Time
 }
 
 // New returns a relayer.
@@ -146,6 +152,8 @@
 	// endpoint is the chosen endpoint, source the one to fetch cached parts
 	// from.
 	endpoint, source *monitor.Monitor
+	// loss is how the last attempt lost its connection, nil if it did not.
+	loss *loss
 }
 
 // Run sends request to an endpoint and relays the answer. It returns the
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -65,6 +65,7 @@
 
 // relayEvents relays complete events, except those that the caller already has.
 func (r *Relayer) relayEvents(a *attempt, head *framer.Head, data []byte) {
+	r.recordBegin(a)
 	if a.prefillTokens > 0 {
 		r.firstEvent(a)
 	}
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/emulator"
 	"wisteriadrum/informer"
 	"wisteriadrum/leaser"
@@ -197,7 +198,7 @@
 func newRoller(name string, incarnation int64, conn net.PacketConn, state *registrar.Registrar, engines *fleet, table tabler.Table) (*roller.Roller, *sharer.Sharer) {
 	count := counter.New(metrics.NewRegistry())
 	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
-	stateSharer := sharer.New(self, incarnation, conn, state, quarantiner.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
+	stateSharer := sharer.New(self, incarnation, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
 	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now)
 	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 	"wisteriadrum/acceptor"
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/exposer"
 	"wisteriadrum/feeder"
 	"wisteriadrum/informer"
@@ -137,16 +138,16 @@
 		return nil, eris.Wrap(err, "listen for peers")
 	}
 	r.packetConn = packets
-	quarantine := quarantiner.New()
+	quarantine, detect := quarantiner.New(), detector.New()
 	for _, table := range deps.Tables {
 		r.feeders = append(r.feeders, feeder.New(deps.Source, table.Name, table.Apply, count, log))
 	}
 	r.informer = informer.New(r.feeders, deps.Dial, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
-	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, r.informer, count, log, time.Now)
+	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
-		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, RetryRule: options.Retries,
-		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, Count: count, Log: log, Now: time.Now,
+		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
+		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
--- a/sharer/events.go
+++ b/sharer/events.go
@@ -1,6 +1,9 @@
 package sharer
 
-import "wisteriadrum/quarantiner"
+import (
+	"wisteriadrum/detector"
+	"wisteriadrum/quarantiner"
+)
 
 // events are changes that are sent once, in the next message.
 type events struct {
@@ -8,16 +11,20 @@
 	weights     []weights
 	emptyStores []uint64
 	cases       []quarantiner.Case
+	suspects    []detector.Suspect
 }
 
 // add queues more events. Parts beyond two messages are dropped, since most of
-// them would be outdated by the time they were sent.
+// them would be outdated by the time they were sent, and so are suspects beyond
+// maxQueuedSuspects, which heartbeats repeat.
 func (e *events) add(more events) {
 	room := max(0, 2*maxPartsPerMessage-len(e.parts))
 	e.parts = append(e.parts, more.parts[:min(room, len(more.parts))]...)
 	e.weights = append(e.weights, more.weights...)
 	e.emptyStores = append(e.emptyStores, more.emptyStores...)
 	e.cases = append(e.cases, more.cases...)
+	room = max(0, maxQueuedSuspects-len(e.suspects))
+	e.suspects = append(e.suspects, more.suspects[:min(room, len(more.suspects))]...)
 }
 
 // take removes and returns the events that fit into one message.
@@ -25,14 +32,16 @@
 	taken := *e
 	fits := min(len(e.parts), maxPartsPerMessage)
 	taken.parts = e.parts[:fits:fits]
-	*e = events{parts: e.parts[fits:]}
+	suspectsFit := min(len(e.suspects), maxSuspectsPerMessage)
+	taken.suspects = e.suspects[:suspectsFit:suspectsFit]
+	*e = events{parts: e.parts[fits:], suspects: e.suspects[suspectsFit:]}
 	return taken
 }
 
 // any reports whether there are events.
-func (e events) any() bool {
-	return len(e.parts)+len(e.weights)+len(e.emptyStores)+len(e.cases) > 0
-}
+func (e events) any() bool { return len(e.parts) > 0 || e.urgent() }
 
 // urgent reports whether there are events that must be sent at once.
-func (e events) urgent() bool { return len(e.weights)+len(e.emptyStores)+len(e.cases) > 0 }
+func (e events) urgent() bool {
+	return len(e.weights)+len(e.emptyStores)+len(e.cases)+len(e.suspects) > 0
+}
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
@@ -77,14 +78,15 @@
 
 // fleet is a set of sharers on a packetNetwork.
 type fleet struct {
-	network *packetNetwork
-	conns   []*memoryConn
-	states  []*registrar.Registrar
-	sharers []*sharer.Sharer
-	all     []sharer.Peer
-	logs    map[string]*hubLog
-	ctx     context.Context
-	stop    context.CancelFunc
+	network   *packetNetwork
+	conns     []*memoryConn
+	states    []*registrar.Registrar
+	detectors []*detector.Detector
+	sharers   []*sharer.Sharer
+	all       []sharer.Peer
+	logs      map[string]*hubLog
+	ctx       context.Context
+	stop      context.CancelFunc
 
 	mu    sync.Mutex
 	peers []sharer.Peer // those that were started
@@ -129,7 +131,9 @@
 		state.PutEndpoints(entries, nil, time.Now(), time.Now())
 		state.AddVersion("m", versioner.Version{Number: 2, OlderUntil: time.Now().Add(time.Minute)})
 		log := &hubLog{}
-		share := sharer.New(peer, 1, conn, state, quarantiner.New(), &tables{}, counter.New(metrics.NewRegistry()), zap.New(log), time.Now)
+		detect := detector.New()
+		f.detectors = append(f.detectors, detect)
+		share := sharer.New(peer, 1, conn, state, quarantiner.New(), detect, &tables{}, counter.New(metrics.NewRegistry()), zap.New(log), time.Now)
 		f.conns, f.logs[peer.Name] = append(f.conns, conn), log
 		f.states, f.sharers, f.all = append(f.states, state), append(f.sharers, share), append(f.all, peer)
 	}
@@ -324,3 +328,24 @@
 		assert.Assert(t, bytes/size/4 <= tenthOfLink, "%d bytes a second of each instance", bytes/size/4)
 	})
 }
+
+// Guards against a part of prompts that crashes more endpoints through other instances:
+// all must know soon what one of them knows, and forward it once.
+func TestSuspectsAreKnownSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, maxDelay = 60, 150 * time.Millisecond
+		f := newFleet(size)
+		defer f.end()
+		time.Sleep(10 * time.Second) // until the hubs are decided on
+		atRest, _ := f.count(4 * time.Second)
+		suspect := detector.Suspect{Part: 9, Name: "p", Level: 3, Refused: true, Until: time.Now().Add(time.Minute)}
+		f.detectors[size-1].Merge([]detector.Suspect{suspect}, time.Now())
+		f.sharers[size-1].AnnounceSuspects([]detector.Suspect{suspect})
+		time.Sleep(maxDelay)
+		for n := range size {
+			assert.Equal(t, len(f.detectors[n].Refused(time.Now())), 1, "instance %d does not know the part after %s", n, maxDelay)
+		}
+		later, _ := f.count(4 * time.Second)
+		assert.Assert(t, later <= 2*atRest, "%d datagrams, %d before", later, atRest)
+	})
+}
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"wisteriadrum/detector"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
 )
@@ -47,6 +48,8 @@
 	Cases       []quarantiner.Case
 	// Versions are the announced versions of weights.
 	Versions []version
+	// Suspects are parts of prompts that may crash endpoints.
+	Suspects []detector.Suspect
 }
 
 // flags are properties of the sender and of the message.
@@ -159,6 +162,11 @@
 			return eris.New("message has a version of weights out of range")
 		}
 	}
+	for _, s := range m.Suspects {
+		if err := s.Validate(); err != nil {
+			return err
+		}
+	}
 	for _, p := range m.Parts {
 		if p.Tokens < 0 || p.Tokens > maxTokens {
 			return eris.New("message has a part with a token count out of range")
@@ -169,7 +177,7 @@
 
 // isDue reports whether the message is sent within the scope.
 func (m *message) isDue(scope scope) bool {
-	hasUrgent := len(m.Weights)+len(m.Cases)+len(m.EmptyStores) > 0
+	hasUrgent := len(m.Weights)+len(m.Cases)+len(m.EmptyStores)+len(m.Suspects) > 0
 	switch scope {
 	case urgentOnly:
 		return hasUrgent
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -56,6 +56,9 @@
 	if !s.quarantine.Merge(msg.Cases, now) {
 		msg.Cases = nil // known ones are not forwarded
 	}
+	if !s.detector.Merge(msg.Suspects, now) {
+		msg.Suspects = nil
+	}
 	if s.hasNewerTable(msg) {
 		s.tables.CatchUpFrom(msg.SenderAddress)
 	}
@@ -151,7 +154,7 @@
 // forward queues the events of a message for the instances to which a hub
 // forwards them, and sends urgent ones at once.
 func (s *Sharer) forward(msg *message) {
-	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases}
+	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases, suspects: msg.Suspects}
 	s.mu.Lock()
 	if !received.any() || s.self.hub != "" && msg.Hub != s.self.Name {
 		s.mu.Unlock()
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"wisteriadrum/detector"
 	"wisteriadrum/elector"
 	"wisteriadrum/monitor"
 	"wisteriadrum/pacer"
@@ -141,7 +142,7 @@
 	heartbeat := scope == everything
 	var versions []version
 	if heartbeat {
-		repeated := events{weights: s.recentVersions(), cases: s.recentCases()}
+		repeated := events{weights: s.recentVersions(), cases: s.recentCases(), suspects: s.recentSuspects()}
 		toHubs.add(repeated)
 		toGroup.add(repeated)
 		versions = s.currentVersions()
@@ -221,7 +222,7 @@
 	msg := &message{
 		Name: s.self.Name, SenderDataCentre: s.self.DataCentre, SenderAddress: s.self.Address, Rate: s.self.Rate, Incarnation: s.self.incarnation, Seq: s.seq, Tables: s.tables.Versions(),
 		Flags: s.self.flags, Hub: s.self.hub,
-		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases,
+		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects,
 	}
 	if table := s.registrar.Table(); table != nil {
 		msg.Table = table.Version
@@ -250,6 +251,22 @@
 	return cases[:min(len(cases), maxCasesPerHeartbeat)]
 }
 
+// recentSuspects returns some of the parts that may crash endpoints, for instances
+// that have started since or did not receive the announcement. At least half of them
+// are refused parts, if there are so many; all are sent in the course of time.
+func (s *Sharer) recentSuspects() []detector.Suspect {
+	suspects := s.detector.Suspects(s.now())
+	rand.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	first := 0
+	for i := 0; i < len(suspects) && first < maxSuspectsPerHeartbeat/2; i++ {
+		if suspects[i].Refused {
+			suspects[first], suspects[i] = suspects[i], suspects[first]
+			first++
+		}
+	}
+	return suspects[:min(len(suspects), maxSuspectsPerHeartbeat)]
+}
+
 // recentVersions returns the versions of weights that were recorded within
 // repeatVersionsFor. They are sent again since a message that announced them
 // may have been lost.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,7 +1,7 @@
 // Package sharer exchanges the state of instances by datagrams: the load that
 // they put on endpoints, the parts of prompts in KV caches, the versions of
-// weights and the requests that crash endpoints. A lost datagram only makes the
-// state of the receiver less precise.
+// weights, and the requests and parts of prompts that crash endpoints. A lost
+// datagram only makes the state of the receiver less precise.
 //
 // Each data centre has a few hubs. The other instances report to one of them.
 // Hubs send each other the summed loads of the instances that report to them,
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/elector"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
@@ -63,6 +64,12 @@
 	// maxCasesPerHeartbeat is the number of known crashing requests that a
 	// heartbeat repeats.
 	maxCasesPerHeartbeat = 8
+	// maxSuspectsPerHeartbeat and maxSuspectsPerMessage bound the parts that may crash
+	// endpoints in a message, as maxPartsPerMessage does, and maxQueuedSuspects those
+	// that wait for one.
+	maxSuspectsPerHeartbeat = 8
+	maxSuspectsPerMessage   = 16
+	maxQueuedSuspects       = 128
 	// maxDirectInstances is the number of instances up to which each reads the
 	// tables from the store itself, since this causes few calls.
 	maxDirectInstances = 14
@@ -102,6 +109,7 @@
 	conn       net.PacketConn
 	registrar  *registrar.Registrar
 	quarantine *quarantiner.Registry
+	detector   *detector.Detector
 	tables     Tables
 	count      *counter.Counter
 	log        *zap.Logger
@@ -130,11 +138,11 @@
 }
 
 // New returns a sharer for the instance self that sends and receives on conn.
-func New(self Peer, incarnation int64, conn net.PacketConn, state *registrar.Registrar, quarantine *quarantiner.Registry, tables Tables, count *counter.Counter, log *zap.Logger, now func() time.Time) *Sharer {
+func New(self Peer, incarnation int64, conn net.PacketConn, state *registrar.Registrar, quarantine *quarantiner.Registry, detect *detector.Detector, tables Tables, count *counter.Counter, log *zap.Logger, now func() time.Time) *Sharer {
 	self.incarnation = incarnation
 	return &Sharer{
 		electFrom: now().Add(maxDiscoveryWait),
-		self:      self, conn: conn, registrar: state, quarantine: quarantine, tables: tables, count: count, log: log, now: now,
+		self:      self, conn: conn, registrar: state, quarantine: quarantine, detector: detect, tables: tables, count: count, log: log, now: now,
 		hubElector: elector.New(), peers: map[string]*Peer{}, sentLoads: sentLoads{},
 	}
 }
@@ -219,6 +227,11 @@
 	s.sendNow(events{cases: []quarantiner.Case{crash}})
 }
 
+// AnnounceSuspects sends at once what is known of parts that may crash endpoints.
+func (s *Sharer) AnnounceSuspects(suspects []detector.Suspect) {
+	s.sendNow(events{suspects: suspects})
+}
+
 // AnnounceEmptied sends at once that a store has lost all parts.
 func (s *Sharer) AnnounceEmptied(store *monitor.Monitor) {
 	s.sendNow(events{emptyStores: []uint64{store.Key}})
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
@@ -29,6 +31,7 @@
 	sharer     *sharer.Sharer
 	registrar  *registrar.Registrar
 	quarantine *quarantiner.Registry
+	detector   *detector.Detector
 	address    string
 	conn       net.PacketConn
 	tables     tables
@@ -54,13 +57,13 @@
 	t.Helper()
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	n := &instance{registrar: registrar.New(time.Now), quarantine: quarantiner.New(), address: conn.LocalAddr().String(), conn: conn, count: counter.New(metrics.NewRegistry())}
+	n := &instance{registrar: registrar.New(time.Now), quarantine: quarantiner.New(), detector: detector.New(), address: conn.LocalAddr().String(), conn: conn, count: counter.New(metrics.NewRegistry())}
 	engine := &router.Engine{CapacityTokens: 1000}
 	n.registrar.PutTable(router.New(version, nil, []router.Pool{{Name: "p", Engine: engine}}, nil, nil, router.Limits{}))
 	n.registrar.PutEndpoints([]monitor.Entry{{Name: "e", Address: "10.0.0.1:80", Pool: "p", Weights: map[string]int{"m": 1}}}, nil, time.Now(), time.Now())
 	n.registrar.AddVersion("m", versioner.Version{Number: 1, OlderUntil: time.Now()})
 	self := sharer.Peer{Name: name, DataCentre: dataCentre, Address: n.address}
-	n.sharer = sharer.New(self, 1, conn, n.registrar, n.quarantine, &n.tables, n.count, zap.NewNop(), time.Now)
+	n.sharer = sharer.New(self, 1, conn, n.registrar, n.quarantine, n.detector, &n.tables, n.count, zap.NewNop(), time.Now)
 	go func() { _ = n.sharer.Listen() }()
 	ctx, cancel := context.WithCancel(t.Context())
 	go n.sharer.Run(ctx)
@@ -158,12 +161,30 @@
 	})
 }
 
+// Guards against a part of prompts that crashes endpoints again through an instance that
+// was not there when it was found.
+func TestRefusedPartsSurviveRestart(t *testing.T) {
+	a := newInstance(t, "a", 1)
+	until := time.Now().Add(time.Minute)
+	a.detector.Merge([]detector.Suspect{{Part: 9, Name: "p", Level: 3, Refused: true, Until: until}}, time.Now())
+	for part := range uint64(1000) {
+		a.detector.Merge([]detector.Suspect{{Part: 100 + part, Level: 1, Until: until}}, time.Now())
+	}
+	b := newInstance(t, "b", 1)
+	b.sharer.AddPeers([]sharer.Peer{{Name: "a", Address: a.address}})
+	eventually(t, "b receives messages of a", func() bool { return len(b.sharer.LiveNames()) == 2 })
+	time.Sleep(1500 * time.Millisecond) // three heartbeats
+	refused := b.detector.Refused(time.Now())
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].Name, "p")
+}
+
 // The instances that started last acquire the lease on orders first: a restart in
 // turn does not stop them again soon. One that stops is no candidate.
 func TestOrderOfCandidates(t *testing.T) {
 	a := newInstance(t, "a", 1)
 	send := func(name string, incarnation, flags int) {
-		message := raw(t, name, "", "10.0.0.1:1", 10, incarnation, 1, 1, []uint64{}, flags, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{})
+		message := raw(t, name, "", "10.0.0.1:1", 10, incarnation, 1, 1, []uint64{}, flags, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{})
 		_, err := a.conn.WriteTo(message, a.conn.LocalAddr())
 		assert.NilError(t, err)
 	}
@@ -189,8 +210,14 @@
 // Guards against malformed datagrams that change state or stop the receiver.
 func TestMalformedNotes(t *testing.T) {
 	a := newInstance(t, "a", 1)
+	whole := func(name, address string, loads, parts, versions, suspects []any) []byte {
+		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{}, versions, suspects)
+	}
 	withVersions := func(name, address string, loads, parts, versions []any) []byte {
-		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{}, versions)
+		return whole(name, address, loads, parts, versions, nil)
+	}
+	withSuspect := func(part string, epoch, level int) []byte {
+		return whole("x", "10.0.0.1:1", nil, nil, nil, []any{[]any{1, part, epoch, level, false, time.Now()}})
 	}
 	valid := func(name, address string, loads, parts []any) []byte {
 		return withVersions(name, address, loads, parts, nil)
@@ -201,18 +228,19 @@
 		valid("x", "10.0.0.1:1", nil, []any{[]any{1, 2, -3, false}}),
 		withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 0, 1}}), withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"", 1, 1}}),
 		withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 1, -1}}), withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 1, 1 << 40}}),
+		withSuspect(strings.Repeat("p", 100), 0, 1), withSuspect("p", -1, 1), withSuspect("p", 0, -1), withSuspect("p", 0, 1<<40), withSuspect("p", 1<<40, 1),
 	} {
 		_, err := a.conn.WriteTo(data, a.conn.LocalAddr())
 		assert.NilError(t, err)
 	}
-	_, err := a.conn.WriteTo(valid("z", "10.0.0.1:1", nil, nil), a.conn.LocalAddr())
+	_, err := a.conn.WriteTo(whole("z", "10.0.0.1:1", nil, nil, nil, []any{[]any{1, "p", 0, 1, false, time.Now().Add(time.Minute)}}), a.conn.LocalAddr())
 	assert.NilError(t, err)
-	eventually(t, "the valid message is applied", func() bool { return len(a.sharer.LiveNames()) == 2 })
+	eventually(t, "the valid message is applied", func() bool { return len(a.sharer.LiveNames()) == 2 && len(a.detector.Suspects(time.Now())) == 1 })
 }
 
 // FuzzNote guards against panics on malformed datagrams.
 func FuzzNote(f *testing.F) {
-	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}})
+	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}, []any{[]any{1, "p", 0, 1, false, time.Unix(1000, 0)}}})
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) { sharer.Check(data) })
