Keep the refused parts of prompts in the store

After a loss of power of all instances nobody remembered which parts of prompts crash engines, and callers lost up to six more engines to a part that had been refused before.

Cause and class: as with the age of weights, what has to outlive all instances was kept in memory only.

A part that an answer cleared leaves the row. Requests that crashed two endpoints stay in memory: after such a loss each can crash two more.

Ruled out: the whole evidence, which changes with each crash and is void soon.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -1,6 +1,6 @@
 // Package archiver keeps in a row of the table service what must outlive all
-// instances: until when older weights may be used. Instances that run have it from one
-// another.
+// instances: until when older weights may be used, and which parts of prompts are
+// refused. Instances that run have it from one another.
 package archiver
 
 import (
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/pacer"
 	"wisteriadrum/registrar"
 	"wisteriadrum/tabler"
@@ -34,6 +35,7 @@
 	table     tabler.Table
 	key       string
 	registrar *registrar.Registrar
+	detector  *detector.Detector
 	tableNow  func() (time.Time, bool)
 	rank      func() int
 	count     *counter.Counter
@@ -52,8 +54,8 @@
 // New returns an archiver of the row with a key. tableNow returns the time by the
 // table's clock, and false while it is unknown. rank returns how many live instances
 // precede this one as writers, or -1 if it writes nothing.
-func New(table tabler.Table, key string, state *registrar.Registrar, tableNow func() (time.Time, bool), rank func() int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
-	return &Archiver{table: table, key: key, registrar: state, tableNow: tableNow, rank: rank, count: count, log: log, now: now}
+func New(table tabler.Table, key string, state *registrar.Registrar, detect *detector.Detector, tableNow func() (time.Time, bool), rank func() int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
+	return &Archiver{table: table, key: key, registrar: state, detector: detect, tableNow: tableNow, rank: rank, count: count, log: log, now: now}
 }
 
 // Run writes the row until ctx ends.
@@ -85,6 +87,9 @@
 			a.restoreVersion(model, v, v.OlderUntil.Sub(tableNow))
 		}
 	}
+	for _, p := range read.Parts {
+		a.restorePart(p.suspect(), tableNow)
+	}
 }
 
 func (a *Archiver) restoreVersion(model string, v versioner.Version, left time.Duration) {
@@ -95,6 +100,14 @@
 	}
 }
 
+func (a *Archiver) restorePart(s detector.Suspect, tableNow time.Time) {
+	now := a.now()
+	s.Until = now.Add(s.Until.Sub(tableNow)).Round(0).UTC()
+	if a.detector.Merge([]detector.Suspect{s}, now) {
+		a.log.Info("refused part of prompts restored", zap.String("part", s.Name), zap.Time("until", s.Until))
+	}
+}
+
 // isDue reports whether something is missing in the row that this instance has to write
 // now.
 func (a *Archiver) isDue() bool {
@@ -102,7 +115,7 @@
 	if !known {
 		return false
 	}
-	if _, missing := a.loadStored().WithVersions(a.versions(tableNow), tableNow); !missing {
+	if _, missing := a.update(a.loadStored(), tableNow); !missing {
 		a.writeAt = time.Time{}
 		return false
 	}
@@ -116,6 +129,24 @@
 	return !a.now().Before(a.writeAt)
 }
 
+// update returns the archive with what this instance knows, and whether that changes it.
+func (a *Archiver) update(old archive, tableNow time.Time) (next archive, changed bool) {
+	next, versionsChanged := old.WithVersions(a.versions(tableNow), tableNow)
+	next, partsChanged := next.WithSuspects(a.suspects(tableNow), tableNow)
+	return next, versionsChanged || partsChanged
+}
+
+// suspects returns the evidence against parts of prompts, with its times by the table's
+// clock.
+func (a *Archiver) suspects(tableNow time.Time) []detector.Suspect {
+	now := a.now()
+	suspects := a.detector.Suspects(now)
+	for i, s := range suspects {
+		suspects[i].Until = tableNow.Add(s.Until.Sub(now))
+	}
+	return suspects
+}
+
 // versions returns the versions that an instance needs after a start, with their times
 // by the table's clock.
 func (a *Archiver) versions(tableNow time.Time) map[string]versioner.Versions {
@@ -144,7 +175,7 @@
 		a.log.Warn("malformed archive is replaced", zap.Error(err))
 	}
 	tableNow, _ := a.tableNow()
-	next, missing := read.WithVersions(a.versions(tableNow), tableNow)
+	next, missing := a.update(read, tableNow)
 	if !missing {
 		a.setStored(read)
 		return nil
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -13,6 +13,7 @@
 
 	"wisteriadrum/archiver"
 	"wisteriadrum/counter"
+	"wisteriadrum/detector"
 	"wisteriadrum/emulator"
 	"wisteriadrum/registrar"
 	"wisteriadrum/tabler"
@@ -25,6 +26,7 @@
 type instance struct {
 	*archiver.Archiver
 	registrar *registrar.Registrar
+	detector  *detector.Detector
 	stop      context.CancelFunc
 }
 
@@ -32,9 +34,9 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	state := registrar.New(func() time.Time { return time.Now().Add(zero) })
-	i := &instance{registrar: state, stop: cancel}
+	i := &instance{registrar: state, detector: detector.New(), stop: cancel}
 	tableNow := func() (time.Time, bool) { return time.Now(), true }
-	i.Archiver = archiver.New(table, key, state, tableNow, func() int { return rank }, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
+	i.Archiver = archiver.New(table, key, state, i.detector, tableNow, func() int { return rank }, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
 	go i.Run(ctx)
 	return i
 }
@@ -122,10 +124,40 @@
 	}
 }
 
+// Guards against parts of prompts that crash endpoints again after all instances have
+// lost their state, and against sound ones that stay refused.
+func TestRefusedPartsSurviveAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := emulator.New(time.Now).Table()
+		first := start(t, table, 0, time.Hour)
+		until := time.Now().Add(time.Minute)
+		refused := detector.Suspect{Part: 7, Name: "p", Level: 3, Refused: true, Until: until}
+		first.detector.Merge([]detector.Suspect{refused, {Part: 8, Level: 2, Until: until}, {Part: 9, Level: 3, Refused: true, Until: until}}, time.Now())
+		first.announce(2, time.Minute, false)
+		time.Sleep(time.Second)
+		first.detector.Merge([]detector.Suspect{{Part: 9, Epoch: 1, Until: until}}, time.Now())
+		time.Sleep(time.Second)
+		first.stop()
+		time.Sleep(time.Second)
+		second := start(t, table, 0, 0)
+		defer second.stop()
+		second.Restore(read(t, table).Value)
+		found := second.detector.Refused(time.Now())
+		assert.Equal(t, len(found), 1)
+		assert.Equal(t, found[0].Name, "p")
+		assert.Assert(t, found[0].Until.Sub(until).Abs() < time.Millisecond)
+		assert.Equal(t, second.left(2), 57*time.Second)
+		writes := read(t, table).Version
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(second.detector.Refused(time.Now())), 0)
+		assert.Equal(t, read(t, table).Version, writes)
+	})
+}
+
 // Guards against a malformed row that is applied, or that stays.
 func TestMalformedArchive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for _, value := range []string{"x", `{"versions":[{"model":"","number":2,"until":5}]}`, `{"versions":[{"model":"m","number":0,"until":5}]}`} {
+		for _, value := range []string{"x", `{"versions":[{"model":"","number":2,"until":5}]}`, `{"versions":[{"model":"m","number":0,"until":5}]}`, `{"parts":[{"key":1,"until":0}]}`, `{"parts":[{"key":1,"epoch":-1,"until":5}]}`} {
 			table := emulator.New(time.Now).Table()
 			_, err := table.Apply(t.Context(), []tabler.Write{{Key: key, Value: []byte(value)}})
 			assert.NilError(t, err)
