Notice that the store's clock is behind its estimate

Change: an answer whose time is before the estimate at the sending of its request proves the estimate ahead, and replaces it.

Ruled out: a window of answers, which reacts later and forgets the best answer.

--- a/synchronizer/synchronizer.go
+++ b/synchronizer/synchronizer.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// Synchronizer estimates a remote clock. The estimate is never ahead of it, and behind
-// it by the shortest time that an answer took.
+// Synchronizer estimates a remote clock. While both clocks run alike, the estimate is
+// never ahead, and behind by the shortest time that an answer took. A remote clock that
+// runs slower or starts anew is noticed with the next answer.
 type Synchronizer struct {
 	now func() time.Time
 
@@ -20,15 +21,17 @@
 }
 
 // New returns a synchronizer without an estimate. now is a monotonic clock that
-// continues while the process is suspended. The remote clock has to be one, too.
+// continues while the process is suspended.
 func New(now func() time.Time) *Synchronizer { return &Synchronizer{now: now} }
 
-// Observe records the remote time in an answer that was just received.
-func (s *Synchronizer) Observe(remote time.Time) {
+// Observe records the remote time in an answer that was just received to a request that
+// was sent at sentAt.
+func (s *Synchronizer) Observe(remote, sentAt time.Time) {
 	offset := remote.Sub(s.now())
+	maxOffset := remote.Sub(sentAt) // the remote time was read after the request was sent
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.observed || offset > s.offset {
+	if !s.observed || offset > s.offset || s.offset > maxOffset {
 		s.offset, s.observed = offset, true
 	}
 }
--- a/synchronizer/synchronizer_test.go
+++ b/synchronizer/synchronizer_test.go
@@ -18,9 +18,9 @@
 	pass := func(d time.Duration) { local, remote = local.Add(d), remote.Add(d) }
 	behind := time.Duration(1<<63 - 1)
 	for _, latency := range []time.Duration{800, 20, 300, 5, 1000} {
-		sent := remote
+		sent, sentAt := remote, local
 		pass(latency * time.Millisecond)
-		clock.Observe(sent)
+		clock.Observe(sent, sentAt)
 		behind = min(behind, latency*time.Millisecond)
 		pass(time.Second)
 		estimate, known := clock.Now()
@@ -28,3 +28,22 @@
 		assert.Equal(t, remote.Sub(estimate), behind)
 	}
 }
+
+// Guards against an estimate that stays ahead of a remote clock which runs slower, halts
+// or starts anew.
+func TestSlowRemoteClock(t *testing.T) {
+	for name, rate := range map[string]float64{"slow": 0.99, "halted": 0, "backward": -1} {
+		t.Run(name, func(t *testing.T) {
+			local, remote := time.Unix(1000, 0), time.Unix(500, 0)
+			clock := synchronizer.New(func() time.Time { return local })
+			for range 100 {
+				sentAt, sent := local, remote
+				local = local.Add(10 * time.Millisecond)
+				clock.Observe(sent, sentAt)
+				estimate, _ := clock.Now()
+				assert.Assert(t, estimate.Sub(remote) <= 10*time.Millisecond, "%s ahead", estimate.Sub(remote))
+				local, remote = local.Add(time.Second), remote.Add(time.Duration(rate*float64(time.Second)))
+			}
+		})
+	}
+}
