Count the age of weights from the last answer before a late announcement

Older weights stayed in use for a whole period from the receipt of an announcement, however late it came (found in a review: 6,793 ms after it with a bound of 4,000, the channel of the watch silent for 3 s).

Cause: as with a table that is read again, the receipt of a row was taken for the time of its writing.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -33,11 +33,15 @@
 // ErrHistoryGone means that the store has discarded the requested changes.
 var ErrHistoryGone = errors.New("requested changes are not stored any more")
 
+// Apply applies rows: the whole table, or the changed rows. They changed just now, or at
+// any time after since if that is not zero, since answers were missing.
+type Apply func(rows []Row, whole bool, since time.Time)
+
 // Feeder follows one table.
 type Feeder struct {
 	store     Store
 	table     string
-	apply     func(rows []Row, whole bool)
+	apply     Apply
 	count     *counter.Counter
 	log       *zap.Logger
 	storeDown atomic.Bool
@@ -51,6 +55,9 @@
 
 	rows    map[string]Row
 	deleted int
+	// lostAt is when the first call began that was not answered since the last answer,
+	// zero if all were.
+	lostAt time.Time
 	// changed is closed when a newer change is received or the store fails.
 	changed chan struct{}
 	// pausedUntil is when the store is polled again. Until then another instance
@@ -59,9 +66,8 @@
 	resumed     chan struct{}
 }
 
-// New returns a feeder that passes rows to apply; whole means that they are the
-// whole table, otherwise they are the changed rows.
-func New(store Store, table string, apply func(rows []Row, whole bool), count *counter.Counter, log *zap.Logger) *Feeder {
+// New returns a feeder that passes rows to apply.
+func New(store Store, table string, apply Apply, count *counter.Counter, log *zap.Logger) *Feeder {
 	return &Feeder{store: store, table: table, apply: apply, count: count, log: log, rows: map[string]Row{}, changed: make(chan struct{}), resumed: make(chan struct{})}
 }
 
@@ -161,7 +167,11 @@
 		if f.awaitPause(ctx) {
 			continue
 		}
+		begun := time.Now()
 		err := f.poll(ctx)
+		if err != nil {
+			f.MarkLost(begun)
+		}
 		switch {
 		case err == nil:
 			if f.storeDown.Swap(false) {
@@ -180,6 +190,16 @@
 	}
 }
 
+// MarkLost records that a call for changes, to the store or to an instance, was not
+// answered. A change may have been missed since it began.
+func (f *Feeder) MarkLost(begun time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAt.IsZero() {
+		f.lostAt = begun
+	}
+}
+
 // fail records a failed call to the store.
 func (f *Feeder) fail(ctx context.Context, err error) {
 	f.count.Add("store", "failed")
@@ -207,6 +227,7 @@
 	if page.Version > f.newest {
 		f.applyPage(page)
 	}
+	f.lostAt = time.Time{}
 	return nil
 }
 
@@ -254,8 +275,9 @@
 	}
 	f.watchFrom, f.newest = page.Version, page.Version
 	if page.Whole || len(page.Rows) > 0 {
-		f.apply(page.Rows, page.Whole)
+		f.apply(page.Rows, page.Whole, f.lostAt)
 	}
+	f.lostAt = time.Time{}
 	if lastChange > f.lastChange {
 		f.lastChange = lastChange
 		f.signal()
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -78,7 +78,7 @@
 		}}
 		var mu sync.Mutex
 		var applied []string
-		apply := func(rows []feeder.Row, whole bool) {
+		apply := func(rows []feeder.Row, whole bool, _ time.Time) {
 			mu.Lock()
 			defer mu.Unlock()
 			for _, row := range rows {
@@ -105,7 +105,7 @@
 func TestOffers(t *testing.T) {
 	store := &scriptedStore{}
 	var applied []string
-	feed := feeder.New(store, "table", func(rows []feeder.Row, _ bool) {
+	feed := feeder.New(store, "table", func(rows []feeder.Row, _ bool, _ time.Time) {
 		for _, row := range rows {
 			applied = append(applied, row.Key)
 		}
@@ -126,7 +126,7 @@
 // Guards against changes or deletions that are missing in a page for another
 // instance, and against a partial page when its version is too old for that.
 func TestSince(t *testing.T) {
-	feed := feeder.New(&scriptedStore{}, "table", func([]feeder.Row, bool) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
+	feed := feeder.New(&scriptedStore{}, "table", func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
 	whole := page(5, "a", "b")
 	whole.Whole = true
 	assert.Assert(t, feed.ApplyFromPeer(whole))
@@ -148,3 +148,29 @@
 		assert.Equal(t, page.Version, uint64(9))
 	}
 }
+
+// Guards against a change that is taken for a recent one although answers were missing
+// when it was made.
+func TestLateChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{results: []result{{page: page(5, "a")}, {page: page(6, "b")}, {err: errors.New("cut")}, {err: errors.New("cut")}, {page: page(7, "c")}, {page: page(8, "d")}}}
+		late := map[string]time.Duration{}
+		ctx, cancel := context.WithCancel(t.Context())
+		feed := feeder.New(store, "table", func(rows []feeder.Row, _ bool, since time.Time) {
+			if !since.IsZero() {
+				late[rows[0].Key] = time.Since(since)
+			}
+		}, counter.New(metrics.NewRegistry()), zap.NewNop())
+		go feed.Run(ctx)
+		time.Sleep(30 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, len(late), 1)
+		assert.Assert(t, late["c"] > 100*time.Millisecond && late["c"] < time.Second, "late by %s", late["c"])
+		assert.Assert(t, feed.ApplyFromPeer(page(19, "x")))
+		feed.MarkLost(time.Now().Add(-time.Second))
+		feed.MarkLost(time.Now())
+		assert.Assert(t, feed.ApplyFromPeer(page(20, "e")))
+		assert.Equal(t, late["e"], time.Second)
+	})
+}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -187,9 +187,13 @@
 
 // receive waits for changes from the source and applies them.
 func (i *Informer) receive(client *rpc.Client, valid func() bool) error {
-	i.pausePolling(time.Now().Add(maxWait + replyMargin))
+	begun := time.Now()
+	i.pausePolling(begun.Add(maxWait + replyMargin))
 	reply, err := i.call(client, maxWait, valid)
 	if err != nil {
+		for _, feed := range i.feeders {
+			feed.MarkLost(begun)
+		}
 		return err
 	}
 	if reply.Lost {
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -129,7 +129,7 @@
 	return i
 }
 
-func (i *instance) apply(rows []feeder.Row, whole bool) {
+func (i *instance) apply(rows []feeder.Row, whole bool, _ time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if whole {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -91,10 +91,9 @@
 }
 
 // FollowedTable is a table of the platform's store that the instance follows.
-// Apply is called with its changed rows, or with all rows if whole is true.
 type FollowedTable struct {
 	Name  string
-	Apply func(rows []feeder.Row, whole bool)
+	Apply feeder.Apply
 }
 
 // Dependencies connect an instance to the outside.
