Bound the time for which an instance restores older weights

Change: a restored time is limited to that of an announcement, and the time in a message to what its receivers accept.

Ruled out: refusing the row, which would leave the assumed time.

TestFarTimeIsBounded (25 h instead of a minute) and TestFarVersionIsBounded fail without the change.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -36,6 +36,7 @@
 	key       string
 	registrar *registrar.Registrar
 	detector  *detector.Detector
+	maxLeft   time.Duration
 	tableNow  func() (time.Time, bool)
 	rank      func() int
 	count     *counter.Counter
@@ -53,9 +54,10 @@
 
 // New returns an archiver of the row with a key. tableNow returns the time by the
 // table's clock, and false while it is unknown. rank returns how many live instances
-// precede this one as writers, or -1 if it writes nothing.
-func New(table tabler.Table, key string, state *registrar.Registrar, detect *detector.Detector, tableNow func() (time.Time, bool), rank func() int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
-	return &Archiver{table: table, key: key, registrar: state, detector: detect, tableNow: tableNow, rank: rank, count: count, log: log, now: now}
+// precede this one as writers, or -1 if it writes nothing. Older weights are usable for
+// maxLeftMillis at most.
+func New(table tabler.Table, key string, state *registrar.Registrar, detect *detector.Detector, tableNow func() (time.Time, bool), rank func() int, maxLeftMillis int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
+	return &Archiver{table: table, key: key, registrar: state, detector: detect, maxLeft: time.Duration(maxLeftMillis) * time.Millisecond, tableNow: tableNow, rank: rank, count: count, log: log, now: now}
 }
 
 // Run writes the row until ctx ends.
@@ -93,6 +95,7 @@
 }
 
 func (a *Archiver) restoreVersion(model string, v versioner.Version, left time.Duration) {
+	left = min(left, a.maxLeft) // a longer time is that of a clock which has started anew
 	assumed := a.registrar.Versions(model).Assumes(v.Number)
 	v.OlderUntil = a.registrar.Now().Add(left)
 	if newer := a.registrar.AddVersion(model, v); newer || assumed {
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,7 +21,10 @@
 	"wisteriadrum/versioner"
 )
 
-const key = "archive"
+const (
+	key           = "archive"
+	maxLeftMillis = 60_000
+)
 
 // instance is an archiver with the state that it keeps. Its clock has its own zero point.
 type instance struct {
@@ -36,7 +40,7 @@
 	state := registrar.New(func() time.Time { return time.Now().Add(zero) })
 	i := &instance{registrar: state, detector: detector.New(), stop: cancel}
 	tableNow := func() (time.Time, bool) { return time.Now(), true }
-	i.Archiver = archiver.New(table, key, state, i.detector, tableNow, func() int { return rank }, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
+	i.Archiver = archiver.New(table, key, state, i.detector, tableNow, func() int { return rank }, maxLeftMillis, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
 	go i.Run(ctx)
 	return i
 }
@@ -83,6 +87,16 @@
 	})
 }
 
+// Guards against a time in the row that lets older weights be used for longer than any
+// announcement does.
+func TestFarTimeIsBounded(t *testing.T) {
+	table := emulator.New(time.Now).Table()
+	i := start(t, table, 0, 0)
+	defer i.stop()
+	i.Restore(fmt.Appendf(nil, `{"versions":[{"model":"m","number":2,"until":%d}]}`, time.Now().Add(25*time.Hour).UnixMilli()))
+	assert.Equal(t, i.left(2), time.Minute)
+}
+
 // Guards against an assumed time that is kept as if it were known.
 func TestAssumedAgeIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -86,6 +86,9 @@
 	// WeightsMarginMillis is how long before older weights go out of use newer
 	// ones are used if an engine has them.
 	WeightsMarginMillis int
+	// WeightsPeriodMillis is how long older weights may be used after newer ones were
+	// announced.
+	WeightsPeriodMillis int
 	// GraceMillis is the grace period between the stop signal and the kill.
 	GraceMillis int
 }
@@ -152,7 +155,7 @@
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
-	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, count, log, time.Now)
+	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, Count: count, Log: log, Now: time.Now,
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -237,7 +237,8 @@
 	now := s.registrar.Now()
 	for model, versions := range s.registrar.VersionsByModel() {
 		for _, current := range versions.Current(now) {
-			list = append(list, version{Model: model, Number: current.Number, RemainingMillis: int(max(0, current.OlderUntil.Sub(now)).Milliseconds())})
+			remaining := max(0, current.OlderUntil.Sub(now)).Milliseconds()
+			list = append(list, version{Model: model, Number: current.Number, RemainingMillis: int(min(remaining, maxRemainingMillis))})
 		}
 	}
 	return list
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -147,6 +147,14 @@
 	eventually(t, "b has the expired version of a", func() bool { return b.registrar.Versions("n").Required(time.Now()) == 2 })
 }
 
+// Guards against messages that their receivers refuse for one time out of range.
+func TestFarVersionIsBounded(t *testing.T) {
+	a, b := newInstance(t, "a", 1), newInstance(t, "b", 1)
+	a.registrar.AddVersion("m", versioner.Version{Number: 2, OlderUntil: time.Now().Add(25 * time.Hour)})
+	b.sharer.AddPeers([]sharer.Peer{{Name: "a", Address: a.address}})
+	eventually(t, "b has the version of a", func() bool { return b.registrar.Versions("m").Contains(2) })
+}
+
 // An instance that starts must not send a request that crashed endpoints before to
 // the remaining ones.
 func TestCrashesSurviveRestart(t *testing.T) {
