Use no endpoint again whose leaving is read again

An endpoint that had left could be used as a last resort again, for half of the drain time: it is forgotten ten seconds after it left, and its entry, received again after a lost history or from a peer, made it a new one that leaves just now.

Cause and class: a repeated read that is taken for an event, as with the weights.

Change: an endpoint that is leaving when it becomes known gets no requests.

Ruled out: keeping such endpoints while they are listed, which needs the same rule for instances that have started since.

TestLeavingEntryThatIsReadAgain fails without the change.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -141,7 +141,8 @@
 // PutEndpoints applies changed entries and the names of removed ones in gone.
 // An endpoint that is leaving or removed is used only as a last resort until
 // leaveBy, and not at all afterwards. It is not dropped at once, since entries
-// also expire while their endpoints are up.
+// also expire while their endpoints are up. One that is leaving and was not known may
+// have been for long: it is not used, as after the same entry is received again.
 func (r *Registrar) PutEndpoints(entries []monitor.Entry, gone []string, now, leaveBy time.Time) {
 	r.fleet.Update(func(old *Fleet) *Fleet {
 		byName := maps.Clone(old.All())
@@ -159,7 +160,10 @@
 			}
 		}
 		for _, entry := range entries {
-			existing := byName[entry.Name]
+			existing, entryLeaveBy := byName[entry.Name], leaveBy
+			if existing == nil {
+				entryLeaveBy = now
+			}
 			if existing != nil && existing.Entry().Incarnation == entry.Incarnation && existing.Entry().Address == entry.Address {
 				existing.Update(entry, r.engine(entry.Pool))
 			} else {
@@ -167,7 +171,7 @@
 				byName[entry.Name] = existing
 			}
 			if entry.Leaving {
-				existing.MarkLeaving(leaveBy)
+				existing.MarkLeaving(entryLeaveBy)
 			} else {
 				existing.ClearLeaving()
 			}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -75,3 +75,18 @@
 	state.PutEndpoints([]monitor.Entry{leaving}, nil, start, start.Add(9*time.Second))
 	assert.Assert(t, state.Fleet().All()["a"].Left(start.Add(2*time.Second)))
 }
+
+// Guards against an endpoint that left long ago and is used again, since its entry is
+// received again.
+func TestLeavingEntryThatIsReadAgain(t *testing.T) {
+	state := registrar.New(time.Now)
+	state.PutEndpoints([]monitor.Entry{entry("a", 1)}, nil, start, start)
+	leaving := entry("a", 1)
+	leaving.Leaving = true
+	state.PutEndpoints([]monitor.Entry{leaving}, nil, start, start.Add(time.Second))
+	later := start.Add(12 * time.Second)
+	state.PutEndpoints(nil, nil, later, later)
+	assert.Equal(t, len(state.Fleet().All()), 0)
+	state.PutEndpoints([]monitor.Entry{leaving}, nil, later, later.Add(time.Second))
+	assert.Assert(t, state.Fleet().All()["a"].Left(later))
+}
