Read the rows of the instances also while writes are refused

An instance that started while the store refused writes but answered reads knew neither its peers nor what has to outlive all instances: it read the rows only after its own was written.

Change: the rows are read whether or not the own one could be written; both are tried again until they succeed. Ruled out: a read of the archive of its own, which is a call more.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -29,8 +29,8 @@
 	writerDelay = 500 * time.Millisecond
 )
 
-// Archiver writes the row when something is missing in it, and applies it after a
-// start.
+// Archiver writes the row when something is missing in it, and applies it when it is
+// read.
 type Archiver struct {
 	table     tabler.Table
 	key       string
@@ -76,11 +76,14 @@
 
 // Restore applies the value of the row.
 func (a *Archiver) Restore(value []byte) {
-	read, err := decode(value)
 	tableNow, known := a.tableNow()
-	if err != nil || !known {
+	if !known {
+		return // the next read brings the clock, too
+	}
+	read, err := decode(value)
+	if err != nil {
 		a.count.Add("rows", "malformed")
-		a.log.Warn("archive not restored", zap.Bool("clock", known), zap.Error(err))
+		a.log.Warn("malformed archive not restored", zap.String("error", err.Error()))
 		return
 	}
 	a.setStored(read)
@@ -175,7 +178,7 @@
 	}
 	read, err := decode(rows[0].Value)
 	if err != nil {
-		a.log.Warn("malformed archive is replaced", zap.Error(err))
+		a.log.Warn("malformed archive is replaced", zap.String("error", err.Error()))
 	}
 	tableNow, _ := a.tableNow()
 	next, missing := a.update(read, tableNow)
@@ -202,7 +205,7 @@
 func (a *Archiver) fail(err error) {
 	a.count.Add("archive", "failed")
 	if !a.failing {
-		a.log.Warn("archive not written; it is tried again", zap.Error(err))
+		a.log.Warn("archive not written; it is tried again", zap.String("error", err.Error()))
 	}
 	a.failing = true
 	a.writeAt = a.now().Add(pacer.Jitter(writerDelay))
--- a/runner/discover.go
+++ b/runner/discover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"strings"
 	"time"
@@ -36,16 +37,12 @@
 			pause = discoveryInterval // the hub sends the state of the other instances
 			continue
 		}
-		var rows []feeder.Row
-		var err error
+		var writeErr error
 		if !written {
-			err = r.deps.PutRow(ctx, instanceKeyPrefix+r.options.Name, value)
-			written = err == nil
+			writeErr = r.deps.PutRow(ctx, instanceKeyPrefix+r.options.Name, value)
+			written = writeErr == nil
 		}
-		if err == nil {
-			rows, err = r.deps.PeerRows(ctx)
-		}
-		if err != nil {
+		if err := errors.Join(writeErr, r.readRows(ctx)); err != nil {
 			if !failing {
 				r.log.Warn("writing or reading the rows of instances failed", zap.String("error", err.Error()))
 			}
@@ -53,15 +50,24 @@
 			continue
 		}
 		failing = false
-		r.restoreArchive(rows)
-		r.sharer.AddPeers(r.decodePeers(rows))
-		if r.sharer.AwaitsHub() {
-			r.informer.AwaitSource(time.Now().Add(hubWait))
-		}
 		pause = pacer.Jitter(discoveryInterval)
 	}
 }
 
+// readRows reads and applies the rows of the instances and the archive.
+func (r *Runner) readRows(ctx context.Context) error {
+	rows, err := r.deps.PeerRows(ctx)
+	if err != nil {
+		return err
+	}
+	r.restoreArchive(rows)
+	r.sharer.AddPeers(r.decodePeers(rows))
+	if r.sharer.AwaitsHub() {
+		r.informer.AwaitSource(time.Now().Add(hubWait))
+	}
+	return nil
+}
+
 // restoreArchive applies the archive if it is among rows.
 func (r *Runner) restoreArchive(rows []feeder.Row) {
 	for _, row := range rows {
