Count no crash against the prompt of a stream that goes on

Sound prompts were refused after three streams had each lost the endpoint at which they went on: the crash of the second one counted, since that had not begun to answer, although the first one had (found in a review).

Change: a stream of which an event was relayed is no evidence against its prompt. Ruled out: clearing the parts once more, which they are already.

TestPartsOfResumedStreams failed before, 3 of 3 runs (503 instead of 200).

--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -19,10 +19,11 @@
 }
 
 // recordCrash records that the endpoint crashed while it ran the attempt. The crash
-// is no evidence against the prompt if the endpoint had begun to answer.
+// is no evidence against the prompt if this endpoint had begun to answer, or another one
+// before.
 func (r *Relayer) recordCrash(a *attempt, now time.Time) {
 	a.loss = &loss{crashed: true, begun: a.begun}
-	if a.begun {
+	if a.begun || a.lastEventID != "" {
 		return
 	}
 	changed, refused, found := r.deps.Detector.RecordCrash(a.request, a.marks, now)
