Bound the last use of a released lease from above

A holder of the lease on orders could send its first order earlier than the pause after the last one by another, in two ways: - PreviousUse after a release was before the last use, by up to the time by which the releaser's estimate of the table's clock was behind: 59 ms and 899 ms with 60 ms and 900 ms and a successor whose estimate is exact. - After a release by a holder that had given no order, the next one did not know of the orders of the holder before: it could order 600 ms after the first.

Cause: Release wrote the estimate less the idle time as Until, which is no upper bound, since the estimate may be behind. And it wrote only its own last use, or zero.

Change: Until is the estimate after the read in Release less the time from the last use to the beginning of that read. After a read the estimate is behind by no more than it took, so it is not before the time at which the read began, however slow the read was; New now says that it relies on this (an answer tells the time at which it was sent, and the estimate keeps the largest difference). The bound is late by at most the time that the read took, and by what the reader's estimate is behind. Release takes the later one of its own last use and the bound for the holder before.

Ruled out: a slack of one margin for released leases. It does not cover a read that takes longer than the margin (300 ms, where a call may take a second), and delays each handover that is read late by the margin.

The store's clock tells whole milliseconds, so that the bound can be early by less than one.

TestLeaseThatEndedBeforeTheStart assumed that both sides are 40 ms behind, which hid the fault: the errors cancel. It now has the estimate of a synchronizer from answers that take time, with equal and different latencies; its checks stay, with the bound after the release to 2 ms and the successor's latency instead of 100 ms.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -84,7 +84,8 @@
 // must be unique to each start of a process, so that a process never renews the
 // lease of an earlier one. tableNow returns the time by the table's clock, from which an
 // instance that has just started knows that a lease has expired; it may be behind
-// that clock but never ahead, and returns false while it is unknown.
+// that clock but never ahead, after a read of the table by no more than that took, and
+// returns false while it is unknown.
 func New(table tabler.Table, key, holder string, terms Terms, now func() time.Time, tableNow func() (time.Time, bool)) *Leaser {
 	return &Leaser{table: table, key: key, holder: holder, terms: terms, now: now, tableNow: tableNow}
 }
@@ -165,8 +166,8 @@
 }
 
 // Release releases the lease permanently and reports whether this holder had
-// it. lastUse is the time of its last use, from which the next holder computes
-// PreviousUse.
+// it. lastUse is the time of its last use, zero if there was none. From the later one of
+// it and the last use by another holder, the next holder computes PreviousUse.
 func (l *Leaser) Release(ctx context.Context, lastUse time.Time) (bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -174,6 +175,7 @@
 	if !l.attempted {
 		return false, nil
 	}
+	begun := l.now()
 	rows, err := l.table.Get(ctx, l.key)
 	if err != nil {
 		return false, eris.Wrap(err, "read the row of the lease")
@@ -188,8 +190,12 @@
 	if old.Holder != l.holder {
 		return false, nil
 	}
-	idle := l.now().Sub(lastUse)
-	_, err = l.write(ctx, row{FencingToken: old.FencingToken, Count: old.Count + 1, Idle: idle.Milliseconds(), Until: l.tableMillis(-idle)}, rows[0].Version, l.now())
+	if lastUse.Before(l.previousUse) {
+		lastUse = l.previousUse
+	}
+	next := row{FencingToken: old.FencingToken, Count: old.Count + 1, Idle: l.now().Sub(lastUse).Milliseconds()}
+	next.Until = l.tableMillis(lastUse.Sub(begun)) // the estimate is not before the time at which the read began
+	_, err = l.write(ctx, next, rows[0].Version, l.now())
 	return err == nil, err
 }
 
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -1,6 +1,7 @@
 package leaser_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 	"wisteriadrum/emulator"
 	"wisteriadrum/inferrer"
 	"wisteriadrum/leaser"
+	"wisteriadrum/synchronizer"
+	"wisteriadrum/tabler"
 )
 
 // noTableClock is the clock of a table that tells no time.
@@ -83,37 +86,133 @@
 	assert.NilError(t, err, "a release by another than the holder changed the lease")
 }
 
+// distantTable is a table whose answers tell the time at which they were sent and
+// take latency, from which clock estimates the table's clock. now is the time of all.
+type distantTable struct {
+	tabler.Table
+	now     *time.Time
+	latency time.Duration
+	clock   *synchronizer.Synchronizer
+}
+
+func (d distantTable) Get(ctx context.Context, keys ...string) ([]tabler.Row, error) {
+	rows, err := d.Table.Get(ctx, keys...)
+	sent := *d.now
+	*d.now = d.now.Add(d.latency)
+	d.clock.Observe(sent)
+	return rows, err
+}
+
+// start returns the leaser of a process whose clock has another zero point than the
+// table's, and that clock. Its estimate of the table's clock is behind by latency.
+func start(table tabler.Table, now *time.Time, holder string, zero, latency time.Duration) (*leaser.Leaser, func() time.Time) {
+	clock := func() time.Time { return now.Add(zero) }
+	estimate := synchronizer.New(clock)
+	distant := distantTable{Table: table, now: now, latency: latency, clock: estimate}
+	return leaser.New(distant, "lease", holder, leaser.DefaultTerms(), clock, estimate.Now), clock
+}
+
 // Guards against orders that wait for the end and the last use of a lease which ended
-// before all instances were restarted.
+// before all instances were restarted, and against a bound before the last use if the
+// estimates of the table's clock are not behind by the same.
 func TestLeaseThatEndedBeforeTheStart(t *testing.T) {
-	tableNow := time.UnixMilli(5000)
-	table := emulator.New(func() time.Time { return tableNow }).Table()
-	// start returns the leaser of a process whose clock has another zero point.
-	start := func(holder string, zero time.Duration) (*leaser.Leaser, func() time.Time) {
-		clock := func() time.Time { return tableNow.Add(zero) }
-		storeClock := func() (time.Time, bool) { return tableNow.Add(-40 * time.Millisecond), true }
-		return leaser.New(table, "lease", holder, leaser.DefaultTerms(), clock, storeClock), clock
+	for _, behind := range []struct{ before, after time.Duration }{{40, 40}, {40, 0}, {0, 40}, {900, 0}, {0, 900}} {
+		before, after := behind.before*time.Millisecond, behind.after*time.Millisecond
+		now := time.UnixMilli(5000)
+		table := emulator.New(func() time.Time { return now }).Table()
+		first, _ := start(table, &now, "one", time.Hour, before)
+		old, err := first.Acquire(t.Context())
+		assert.NilError(t, err)
+		acquired := now
+		now = acquired.Add(9 * time.Second)
+		early, _ := start(table, &now, "two", -time.Hour, after)
+		_, err = early.Acquire(t.Context())
+		assert.ErrorIs(t, err, leaser.ErrHeld, "the margin has not passed")
+		now = acquired.Add(21 * time.Second)
+		late, clock := start(table, &now, "three", 0, after)
+		next, err := late.Acquire(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, next.FencingToken > old.FencingToken)
+		idle := clock().Sub(next.PreviousUse)
+		assert.Assert(t, idle > 7*time.Second && idle <= 14*time.Second, "idle for %s: used for at most 7 s of the 21 s", idle)
+		lastUse := now
+		had, err := late.Release(t.Context(), clock())
+		assert.NilError(t, err)
+		assert.Assert(t, had)
+		now = now.Add(5 * time.Second)
+		last, clock := start(table, &now, "four", time.Minute, before)
+		next, err = last.Acquire(t.Context())
+		assert.NilError(t, err)
+		used := now.Sub(lastUse)
+		idle = clock().Sub(next.PreviousUse)
+		assert.Check(t, idle > used-before-2*time.Millisecond && idle <= used, "idle for %s, last used %s ago, behind by %s and then %s", idle, used, after, before)
+	}
+}
+
+// Guards against a release that tells an earlier last use than there was, or a much
+// later one, for a holder and a successor whose estimates of the table's clock are
+// behind by different times.
+func TestReleaseIsNotBeforeTheLastUse(t *testing.T) {
+	latencies := []time.Duration{0, 60 * time.Millisecond, 900 * time.Millisecond}
+	for _, behind := range latencies {
+		for _, successorBehind := range latencies {
+			now := time.UnixMilli(5000)
+			table := emulator.New(func() time.Time { return now }).Table()
+			holder, clock := start(table, &now, "one", time.Hour, behind)
+			_, err := holder.Acquire(t.Context())
+			assert.NilError(t, err)
+			lastUse, lastUseByClock := now, clock()
+			now = now.Add(2 * time.Second)
+			had, err := holder.Release(t.Context(), lastUseByClock)
+			assert.NilError(t, err)
+			assert.Assert(t, had)
+			now = now.Add(5 * time.Second)
+			successor, clock := start(table, &now, "two", -time.Hour, successorBehind)
+			next, err := successor.Acquire(t.Context())
+			assert.NilError(t, err)
+			late := now.Sub(lastUse) - clock().Sub(next.PreviousUse)
+			assert.Check(t, late >= 0 && late < successorBehind+2*time.Millisecond, "the bound is %s after the last use, behind by %s and then %s", late, behind, successorBehind)
+		}
+	}
+}
+
+// Guards against a holder that gives no order, or only older ones than the holder before
+// it, and with whose release the next forgets the orders of that one.
+func TestReleaseKeepsThePreviousUse(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		for _, own := range []time.Duration{-time.Hour, 0} { // 0 is no use at all
+			now := time.UnixMilli(5000)
+			table := emulator.New(func() time.Time { return now }).Table()
+			begin := func(holder string) (*leaser.Leaser, func() time.Time) {
+				if known {
+					return start(table, &now, holder, time.Hour, 0)
+				}
+				clock := func() time.Time { return now.Add(time.Hour) }
+				return leaser.New(table, "lease", holder, leaser.DefaultTerms(), clock, noTableClock), clock
+			}
+			first, clock := begin("one")
+			_, err := first.Acquire(t.Context())
+			assert.NilError(t, err)
+			used := clock()
+			now = now.Add(200 * time.Millisecond)
+			_, err = first.Release(t.Context(), used)
+			assert.NilError(t, err)
+			second, _ := begin("two")
+			_, err = second.Acquire(t.Context())
+			assert.NilError(t, err)
+			now = now.Add(400 * time.Millisecond)
+			lastUse := time.Time{}
+			if own != 0 {
+				lastUse = used.Add(own)
+			}
+			had, err := second.Release(t.Context(), lastUse)
+			assert.NilError(t, err)
+			assert.Assert(t, had)
+			third, _ := begin("three")
+			next, err := third.Acquire(t.Context())
+			assert.NilError(t, err)
+			late := next.PreviousUse.Sub(used)
+			assert.Check(t, late >= 0 && late < 3*time.Millisecond, "the bound is %s after the last use (table's clock known: %t, own use: %s)", late, known, own)
+		}
 	}
-	first, _ := start("one", time.Hour)
-	old, err := first.Acquire(t.Context())
-	assert.NilError(t, err)
-	tableNow = tableNow.Add(9 * time.Second)
-	early, _ := start("two", -time.Hour)
-	_, err = early.Acquire(t.Context())
-	assert.ErrorIs(t, err, leaser.ErrHeld, "the margin has not passed")
-	tableNow = tableNow.Add(12 * time.Second)
-	late, clock := start("three", 0)
-	next, err := late.Acquire(t.Context())
-	assert.NilError(t, err)
-	assert.Assert(t, next.FencingToken > old.FencingToken)
-	idle := clock().Sub(next.PreviousUse)
-	assert.Assert(t, idle > 7*time.Second && idle <= 14*time.Second, "idle for %s: used for at most 7 s of the 21 s", idle)
-	had, err := late.Release(t.Context(), clock())
-	assert.NilError(t, err)
-	assert.Assert(t, had)
-	tableNow = tableNow.Add(5 * time.Second)
-	last, clock := start("four", time.Minute)
-	next, err = last.Acquire(t.Context())
-	assert.NilError(t, err)
-	assert.Assert(t, clock().Sub(next.PreviousUse) > 4900*time.Millisecond && clock().Sub(next.PreviousUse) <= 5*time.Second)
 }
