Prove the guards of takeovers by the table's clock

They are the slack for orders that arrive late, the earlier one of two bounds, the two that a row without a time by the table's clock has not ended or been used long ago, and the time of the last use in a release.

Cause: the test of the leaser bounds the idle time between 7 and 14 s, the roller's tests take a table whose clock is unknown.

Change: TestLastUseOfALeaseThatEnded and TestRowWithoutTheTablesTime check the bounds to 2 ms and exactly. TestUnconnectedInstancesKeepPause runs with an unknown clock as before, and with a known one; since its instances take over long after the last order, TestTakeoverByTheTablesClock lets a holder crash during a rollout and starts a successor 0 to 6 s after it. The first order must keep the pause, and follow no later than two rounds and the announcement after the bound of the last use, or after the start.

Ruled out: a tighter bound in TestLeaseThatEndedBeforeTheStart, which would not see the bound at the moment of the takeover.

The code is unchanged; these tests passed without a change of it.

--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -216,3 +216,60 @@
 		}
 	}
 }
+
+// Guards against a bound of the last use that ignores orders which arrive late, or that is
+// later than the takeover.
+func TestLastUseOfALeaseThatEnded(t *testing.T) {
+	for _, test := range []struct{ after, idle time.Duration }{
+		{10002 * time.Millisecond, 0},                       // orders of the holder may still arrive
+		{13 * time.Second, 0},                               // the last moment at which one may
+		{21 * time.Second, 21*time.Second - 13*time.Second}, // 7 s of use and two margins
+	} {
+		now := time.UnixMilli(5000)
+		table := emulator.New(func() time.Time { return now }).Table()
+		holder, _ := start(table, &now, "one", time.Hour, 0)
+		_, err := holder.Acquire(t.Context())
+		assert.NilError(t, err)
+		now = now.Add(test.after)
+		successor, clock := start(table, &now, "two", -time.Hour, 0)
+		next, err := successor.Acquire(t.Context())
+		assert.NilError(t, err)
+		idle := clock().Sub(next.PreviousUse)
+		assert.Check(t, idle >= 0 && idle <= test.idle && idle > test.idle-2*time.Millisecond, "idle for %s after %s", idle, test.after)
+	}
+}
+
+// Guards against a row without a time by the table's clock, as an instance writes that
+// does not know that clock, which is taken for one that ended long ago.
+func TestRowWithoutTheTablesTime(t *testing.T) {
+	now := time.UnixMilli(5000)
+	table := emulator.New(func() time.Time { return now }).Table()
+	clock := func() time.Time { return now.Add(time.Hour) }
+	first := leaser.New(table, "lease", "one", leaser.DefaultTerms(), clock, noTableClock)
+	_, err := first.Acquire(t.Context())
+	assert.NilError(t, err)
+	now = now.Add(20 * time.Second)
+	second, clock := start(table, &now, "two", -time.Hour, 0)
+	for _, wait := range []time.Duration{0, 12999 * time.Millisecond} {
+		now = now.Add(wait)
+		_, err = second.Acquire(t.Context())
+		assert.ErrorIs(t, err, leaser.ErrHeld, "the length and the margin have not passed since the first read")
+	}
+	now = now.Add(time.Millisecond)
+	next, err := second.Acquire(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, next.PreviousUse, clock())
+
+	now = time.UnixMilli(5000)
+	table = emulator.New(func() time.Time { return now }).Table()
+	first = leaser.New(table, "lease", "one", leaser.DefaultTerms(), clock, noTableClock)
+	_, err = first.Acquire(t.Context())
+	assert.NilError(t, err)
+	_, err = first.Release(t.Context(), clock().Add(-time.Second))
+	assert.NilError(t, err)
+	now = now.Add(4 * time.Second)
+	second, clock = start(table, &now, "two", time.Minute, 0)
+	next, err = second.Acquire(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, next.PreviousUse, clock().Add(-time.Second), "PreviousUse must be the first read of the release less the idle time")
+}
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -173,11 +173,23 @@
 	return versioner.Version{Number: number, OlderUntil: time.Now().Add(time.Minute)}
 }
 
+// tableClock returns the time by the table's clock, and false if it is unknown.
+type tableClock func() (time.Time, bool)
+
+func unknownClock() (time.Time, bool) { return time.Time{}, false }
+func knownClock() (time.Time, bool)   { return time.Now(), true }
+
 // instance starts a roller for the engines, with its lease in the table.
 func instance(ctx context.Context, t *testing.T, name string, engines *fleet, table tabler.Table) (*roller.Roller, *registrar.Registrar) {
+	t.Helper()
+	return instanceWith(ctx, t, name, engines, table, unknownClock)
+}
+
+// instanceWith starts a roller for the engines, with its lease in the table with a clock.
+func instanceWith(ctx context.Context, t *testing.T, name string, engines *fleet, table tabler.Table, tableNow tableClock) (*roller.Roller, *registrar.Registrar) {
 	t.Helper()
 	state := newState()
-	r, _ := newRoller(name, 1, lossyConn{}, state, engines, table)
+	r, _ := newRoller(name, 1, lossyConn{}, state, engines, table, tableNow)
 	go r.Run(ctx)
 	return r, state
 }
@@ -195,11 +207,11 @@
 }
 
 // newRoller returns a roller with its lease in the table, and its sharer.
-func newRoller(name string, incarnation int64, conn net.PacketConn, state *registrar.Registrar, engines *fleet, table tabler.Table) (*roller.Roller, *sharer.Sharer) {
+func newRoller(name string, incarnation int64, conn net.PacketConn, state *registrar.Registrar, engines *fleet, table tabler.Table, tableNow tableClock) (*roller.Roller, *sharer.Sharer) {
 	count := counter.New(metrics.NewRegistry())
 	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
 	stateSharer := sharer.New(self, incarnation, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
-	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, func() (time.Time, bool) { return time.Time{}, false })
+	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, tableNow)
 	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
 
@@ -321,7 +333,7 @@
 	for i, name := range names {
 		conn := network.listen(i + 1)
 		state := newState()
-		roll, share := newRoller(name, int64(i+1), conn, state, engines, table)
+		roll, share := newRoller(name, int64(i+1), conn, state, engines, table, unknownClock)
 		for j, peer := range names {
 			share.AddPeers([]sharer.Peer{{Name: peer, DataCentre: peer, Address: fmt.Sprintf("10.0.0.9:%d", j+1)}})
 		}
@@ -397,26 +409,72 @@
 // Guards against interleaved orders of two instances that receive no messages
 // of each other: the lease alone must keep the pause between them.
 func TestUnconnectedInstancesKeepPause(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		engines, table := newFleet(), emulator.New(time.Now).Table()
-		_, firstState := instance(ctx, t, "a", engines, table)
-		_, secondState := instance(ctx, t, "b", engines, table)
-		for version := 2; version < 5; version++ {
-			firstState.AddVersion("m", announced(version))
-			secondState.AddVersion("m", announced(version))
-			time.Sleep(15 * time.Second)
-			assert.Equal(t, engines.outdated(version), 0)
-		}
-		for i := 1; i < len(engines.orders); i++ {
-			last, next := engines.orders[i-1], engines.orders[i]
-			if last.holder != next.holder {
-				assert.Assert(t, next.at.Sub(last.at) >= orderPause)
-			}
-			assert.Assert(t, next.order.FencingToken >= last.order.FencingToken)
-		}
-	})
+	for name, tableNow := range map[string]tableClock{"unknown clock": unknownClock, "known clock": knownClock} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				engines, table := newFleet(), emulator.New(time.Now).Table()
+				_, firstState := instanceWith(ctx, t, "a", engines, table, tableNow)
+				_, secondState := instanceWith(ctx, t, "b", engines, table, tableNow)
+				for version := 2; version < 5; version++ {
+					firstState.AddVersion("m", announced(version))
+					secondState.AddVersion("m", announced(version))
+					time.Sleep(15 * time.Second)
+					assert.Equal(t, engines.outdated(version), 0)
+				}
+				for i := 1; i < len(engines.orders); i++ {
+					last, next := engines.orders[i-1], engines.orders[i]
+					if last.holder != next.holder {
+						assert.Assert(t, next.at.Sub(last.at) >= orderPause)
+					}
+					assert.Assert(t, next.order.FencingToken >= last.order.FencingToken)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a successor that orders before the pause has passed since the last order
+// of an instance that crashed, if it knows the table's clock, or that waits for the
+// pause when it has passed before its start.
+func TestTakeoverByTheTablesClock(t *testing.T) {
+	for _, startAfter := range []time.Duration{0, time.Second, 2 * time.Second, 6 * time.Second} {
+		t.Run(startAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				engines, table := newFleet(), emulator.New(time.Now).Table()
+				crashing, crash := context.WithCancel(ctx)
+				defer crash()
+				_, state := instanceWith(crashing, t, "a", engines, table, knownClock)
+				state.AddVersion("m", announced(2))
+				time.Sleep(1500 * time.Millisecond)
+				crash()
+				crashed := time.Now()
+				synctest.Wait()
+				before := engines.orderCount()
+				assert.Assert(t, before > 0)
+				time.Sleep(startAfter)
+				started := time.Now()
+				_, state = instanceWith(ctx, t, "b", engines, table, knownClock)
+				state.AddVersion("m", announced(2))
+				time.Sleep(12 * time.Second)
+				assert.Equal(t, engines.outdated(2), 0)
+				last, next := engines.orders[before-1], engines.orders[before]
+				assert.Equal(t, last.holder, "a")
+				assert.Equal(t, next.holder, "b")
+				assert.Assert(t, next.order.FencingToken > last.order.FencingToken)
+				assert.Assert(t, next.at.Sub(last.at) >= orderPause, "waited %s", next.at.Sub(last.at))
+				due := crashed.Add(1800*time.Millisecond + orderPause) // the lease less its margin, for late orders two margins
+				if started.After(due) {
+					due = started
+				}
+				// two rounds and an announcement: in the first, all engines may have the version
+				assert.Assert(t, next.at.Before(due.Add(300*time.Millisecond)), "ordered %s after the pause", next.at.Sub(due))
+			})
+		})
+	}
 }
 
 func TestPlan(t *testing.T) {
