Take an unframed stream without any event as broken off

A caller got an empty success if its engine ended between the head and the first event of an answer with neither a length nor chunks, and the crash was no evidence against its prompt (found in a review).

Cause: the end of the connection ends such an answer, and a stream without events was taken for complete, which a crash cannot be told from.

Change: it has been broken off: sent elsewhere on a resumable route, otherwise 502.

Ruled out: the same for a stream whose length or chunks say that it is empty.

--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -51,7 +51,7 @@
 			return false, refuser.New(refuser.AnswerLost, judge.Ran, "endpoint %s sent an event of over %d bytes", a.entry.Name, maxEventBytes)
 		}
 	}
-	if len(pending) > 0 {
+	if len(pending) > 0 || head.Length == framer.UntilClose && !a.begun {
 		return false, r.connectionFailed(ctx, a, io.ErrUnexpectedEOF)
 	}
 	reusable := r.reusable(a, head, response, nil)
