Split the files that have grown, and name the unit of a limit

The handling of lost connections moves beside that of crashes, the pause of the polls and the type of a table's consumer into files of their own. The archiver keeps its limit in milliseconds, not as a duration.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -1,6 +1,6 @@
 // Package archiver keeps in a row of the table service what must outlive all
 // instances: until when older weights may be used, and which parts of prompts are
-// refused. Instances that run have it from one another.
+// refused. Running instances get it from one another.
 package archiver
 
 import (
@@ -36,12 +36,13 @@
 	key       string
 	registrar *registrar.Registrar
 	detector  *detector.Detector
-	maxLeft   time.Duration
 	tableNow  func() (time.Time, bool)
 	rank      func() int
-	count     *counter.Counter
-	log       *zap.Logger
-	now       func() time.Time
+	// maxLeftMillis bounds the time for which older weights are usable.
+	maxLeftMillis int
+	count         *counter.Counter
+	log           *zap.Logger
+	now           func() time.Time
 
 	// writeAt is when this instance writes what is missing, zero if nothing is.
 	writeAt time.Time
@@ -57,7 +58,7 @@
 // precede this one as writers, or -1 if it writes nothing. Older weights are usable for
 // maxLeftMillis at most.
 func New(table tabler.Table, key string, state *registrar.Registrar, detect *detector.Detector, tableNow func() (time.Time, bool), rank func() int, maxLeftMillis int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
-	return &Archiver{table: table, key: key, registrar: state, detector: detect, maxLeft: time.Duration(maxLeftMillis) * time.Millisecond, tableNow: tableNow, rank: rank, count: count, log: log, now: now}
+	return &Archiver{table: table, key: key, registrar: state, detector: detect, tableNow: tableNow, rank: rank, maxLeftMillis: maxLeftMillis, count: count, log: log, now: now}
 }
 
 // Run writes the row until ctx ends.
@@ -98,7 +99,7 @@
 }
 
 func (a *Archiver) restoreVersion(model string, v versioner.Version, left time.Duration) {
-	left = min(left, a.maxLeft) // a longer time is that of a clock which has started anew
+	left = min(left, time.Duration(a.maxLeftMillis)*time.Millisecond) // a longer time is that of a clock which has started anew
 	assumed := a.registrar.Versions(model).Assumes(v.Number)
 	v.OlderUntil = a.registrar.Now().Add(left)
 	if newer := a.registrar.AddVersion(model, v); newer || assumed {
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -33,10 +33,6 @@
 // ErrHistoryGone means that the store has discarded the requested changes.
 var ErrHistoryGone = errors.New("requested changes are not stored any more")
 
-// Apply applies rows: the whole table, or the changed rows. They changed just now, or at
-// any time after since if that is not zero, since answers were missing.
-type Apply func(rows []Row, whole bool, since time.Time)
-
 // Feeder follows one table.
 type Feeder struct {
 	store     Store
@@ -126,40 +122,6 @@
 	return true
 }
 
-// PausePolling stops calls to the store until the given time, since another
-// instance sends the changes. The zero time resumes them.
-func (f *Feeder) PausePolling(until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if until.Before(f.pausedUntil) {
-		close(f.resumed)
-		f.resumed = make(chan struct{})
-	}
-	f.pausedUntil = until
-	if !until.IsZero() && f.storeDown.Swap(false) {
-		f.log.Info("another instance sends the table", zap.String("table", f.table), zap.Uint64("version", f.newest))
-	}
-}
-
-// awaitPause waits until polling is not paused, and reports whether it waited.
-func (f *Feeder) awaitPause(ctx context.Context) bool {
-	f.mu.Lock()
-	pause, resumed := time.Until(f.pausedUntil), f.resumed
-	known := f.newest > 0
-	f.mu.Unlock()
-	if !known || pause <= 0 {
-		return false
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-resumed:
-	case <-ctx.Done():
-	}
-	return true
-}
-
 // Run follows the table until ctx ends.
 func (f *Feeder) Run(ctx context.Context) {
 	pause := minRetryPause
--- a/feeder/page.go
+++ b/feeder/page.go
@@ -1,6 +1,9 @@
 package feeder
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Row is a row as of a version.
 type Row struct {
@@ -33,3 +36,7 @@
 	// ErrHistoryGone if the changes are not stored any more.
 	Watch(ctx context.Context, table string, after uint64) (Page, error)
 }
+
+// Apply applies rows: the whole table, or the changed rows. They changed just now, or at
+// any time after since if that is not zero, since answers were missing.
+type Apply func(rows []Row, whole bool, since time.Time)
--- a/instance.go
+++ b/instance.go
@@ -305,6 +305,3 @@
 	}
 	return configurer.New(source)
 }
-
-// noTableClock is the clock of the table service, which sends no time.
-func noTableClock() (time.Time, bool) { return time.Time{}, false }
--- a/instance_api.go
+++ b/instance_api.go
@@ -147,3 +147,6 @@
 	}
 	return false
 }
+
+// noTableClock returns no time, since the answers of the table service contain none.
+func noTableClock() (time.Time, bool) { return time.Time{}, false }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +13,6 @@
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
 	"wisteriadrum/pooler"
-	"wisteriadrum/quarantiner"
 	"wisteriadrum/refuser"
 	"wisteriadrum/translator"
 )
@@ -276,58 +272,3 @@
 	}
 	return true
 }
-
-// connectionFailed returns the refusal for an answer that did not arrive
-// completely.
-func (r *Relayer) connectionFailed(ctx context.Context, a *attempt, err error) *refuser.Refusal {
-	if ctx.Err() != nil {
-		return refuser.New(refuser.CallerGone, judge.MayHaveRun, "the caller left")
-	}
-	now := r.deps.Now()
-	var timeout net.Error
-	if a.abandoned.Load() {
-		a.endpoint.RecordFailure(now)
-		a.retryReserved = true
-		return refuser.New(refuser.Silent, judge.MayHaveRun, "endpoint %s sent nothing for %d ms", a.entry.Name, a.endpoint.SilentFor(now).Milliseconds())
-	}
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		a.endpoint.RecordFailure(now)
-		return refuser.New(refuser.Timeout, judge.MayHaveRun, "endpoint %s did not answer in time", a.entry.Name)
-	}
-	if a.conn.Reused {
-		r.deps.Pool.Drop(a.entry.Address)
-	}
-	lost := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err)
-	switch {
-	case lost && r.accepts(a.entry.Address):
-		a.endpoint.RecordReset(now)
-		a.loss = &loss{begun: a.begun}
-	case lost:
-		a.endpoint.RecordFailure(now)
-		crash := quarantiner.Crash{Endpoint: a.entry.Name, Incarnation: strconv.FormatInt(a.entry.Incarnation, 10)}
-		r.deps.AnnounceCrash(r.deps.Quarantine.RecordCrash(a.request.Fingerprint, crash, now))
-		r.recordCrash(a, now)
-	default:
-		a.endpoint.RecordFailure(now)
-	}
-	return refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "endpoint %s: %s", a.entry.Name, err)
-}
-
-// accepts reports whether an endpoint accepts a new connection, which is kept for
-// reuse. After a lost connection it distinguishes an endpoint that crashed from a
-// connection that was reset while its endpoint works.
-func (r *Relayer) accepts(address string) bool {
-	conn, err := r.deps.Pool.Get(address, true)
-	if err != nil {
-		return false
-	}
-	r.deps.Pool.Put(address, conn, time.Time{})
-	return true
-}
-
-// isNetworkError reports whether err is an error of a network operation, such
-// as a connection reset.
-func isNetworkError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op)
-}
