Search each byte of a stream once for the end of an event

What callers saw: a stream whose event came in many pieces without an end was answered 504 at its deadline instead of 502 at the limit of an event.

Cause: relayStream searched all pending bytes again after each read, so an event cost time with the square of its size; up to the limit of 1 MiB these are hundreds of megabytes.

Change: only the new bytes and the last three before them are searched.

--- a/relayer/export_test.go
+++ b/relayer/export_test.go
@@ -2,6 +2,7 @@
 
 // Exported for tests.
 var (
+	AppendEvents         = appendEvents
 	EventsAfter          = eventsAfter
 	CompleteEventsLength = completeEventsLength
 )
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -17,6 +17,12 @@
 	maxEventBytes     = 1 << 20
 )
 
+// The blank lines that end an event.
+var (
+	eventEnd     = []byte("\n\n")
+	eventEndCRLF = []byte("\r\n\r\n")
+)
+
 // relayStream relays events, each only when it is complete, so that the stream
 // can be resumed at another endpoint after the last relayed event.
 func (r *Relayer) relayStream(ctx context.Context, a *attempt, head *framer.Head, response translator.Answer) (bool, *refuser.Refusal) {
@@ -32,8 +38,8 @@
 		if n > 0 {
 			r.recordProgress(a)
 		}
-		pending = append(pending, buffer[:n]...)
-		complete := completeEventsLength(pending)
+		var complete int
+		pending, complete = appendEvents(pending, buffer[:n])
 		if complete > 0 {
 			r.relayEvents(a, head, pending[:complete])
 			pending = append(pending[:0], pending[complete:]...)
@@ -96,15 +102,26 @@
 	a.endTransfer()
 }
 
+// appendEvents appends data to pending, which contains no complete event, and
+// returns the length of the events that are complete now. It searches only the new
+// bytes, since an event may arrive in many pieces.
+func appendEvents(pending, data []byte) (appended []byte, complete int) {
+	from := max(0, len(pending)-len(eventEndCRLF)+1)
+	pending = append(pending, data...)
+	if length := completeEventsLength(pending[from:]); length > 0 {
+		return pending, from + length
+	}
+	return pending, 0
+}
+
 // completeEventsLength returns the length of the complete events at the
 // beginning of data.
 func completeEventsLength(data []byte) int {
 	end := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i+4 > end && i >= 0 {
-		end = i + 4
+	for _, blankLine := range [][]byte{eventEnd, eventEndCRLF} {
+		if i := bytes.LastIndex(data, blankLine); i >= 0 {
+			end = max(end, i+len(blankLine))
+		}
 	}
 	return end
 }
@@ -132,11 +149,10 @@
 // line.
 func firstEventLength(data []byte) int {
 	end := len(data)
-	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.Index(data, []byte("\r\n\r\n")); i >= 0 && i+4 < end {
-		end = i + 4
+	for _, blankLine := range [][]byte{eventEnd, eventEndCRLF} {
+		if i := bytes.Index(data[:end], blankLine); i >= 0 {
+			end = i + len(blankLine)
+		}
 	}
 	return end
 }
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -43,6 +43,35 @@
 	}
 }
 
+// Guards against searching a long event again for each piece of it, which kept its
+// request until the deadline.
+func TestLongEventInPieces(t *testing.T) {
+	const piece = "data: more\n"
+	startedAt := time.Now()
+	var pending []byte
+	for len(pending) < 1<<20 {
+		assert.Assert(t, time.Since(startedAt) < 10*time.Second, "after %d bytes", len(pending))
+		var complete int
+		pending, complete = relayer.AppendEvents(pending, []byte(piece))
+		assert.Equal(t, complete, 0)
+	}
+	whole, complete := relayer.AppendEvents(pending, []byte("\ndata: next"))
+	assert.Equal(t, complete, len(pending)+1)
+	assert.Equal(t, len(whole), complete+len("data: next"))
+}
+
+// The end of an event must be found wherever the bytes of the stream are divided.
+func TestDividedEvents(t *testing.T) {
+	for _, text := range []string{"a\n\nb\n\nc", "a\r\n\r\nb\r\n\r\nc", "a\n\nb\r\n\r\n"} {
+		want := relayer.CompleteEventsLength([]byte(text))
+		for at := range len(text) + 1 {
+			pending, first := relayer.AppendEvents(nil, []byte(text[:at]))
+			_, second := relayer.AppendEvents(pending[first:], []byte(text[at:]))
+			assert.Equal(t, first+second, want, "%q divided at %d", text, at)
+		}
+	}
+}
+
 // A request is authorized by its route and key. It keeps its pool when the
 // configuration changes, unless its route no longer leads there.
 func TestIdentify(t *testing.T) {
