Start no request on weights out of use where the bound is known

What callers would see: requests answered by older weights later than the bound after newer ones were acknowledged, for as long as no engine had the newer ones, whatever delayed the first order.

Cause: without any engine with the required weights the choice fell back to older ones without end, so the bound depended on another action, the roll-out, being in time. The class of fault: a bound that no step enforces.

Ruled out: refusing always. An instance that is cut off from the store cannot know what was announced meanwhile, and no order can be given: it goes on serving what it can, for one period after it is in contact again. So does one that knows the bound by assumption only.

Change: the feeder knows since when calls for changes were answered, also those to another instance; versioner decides whether a required version is binding; such requests are refused at once with 503, not run. The counter placed.outdated and the field outdated tell where older ones are used.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -54,6 +54,10 @@
 	// lostAt is when the first call began that was not answered since the last answer,
 	// zero if all were.
 	lostAt time.Time
+	// followedSince is when the first answer since the last call without one was
+	// received. interrupted means that there was such a call since the start.
+	followedSince time.Time
+	interrupted   bool
 	// changed is closed when a newer change is received or the store fails.
 	changed chan struct{}
 	// pausedUntil is when the store is polled again. Until then another instance
@@ -87,6 +91,17 @@
 	return f.lastChange
 }
 
+// FollowedSince returns since when all calls for changes were answered, the zero time
+// if the last one was not, and whether all were since the start.
+func (f *Feeder) FollowedSince() (since time.Time, fromStart bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lostAt.IsZero() {
+		return time.Time{}, false
+	}
+	return f.followedSince, !f.interrupted
+}
+
 // Changed returns a channel that is closed when another change is received or
 // the store fails.
 func (f *Feeder) Changed() <-chan struct{} {
@@ -160,6 +175,22 @@
 	if f.lostAt.IsZero() {
 		f.lostAt = begun
 	}
+	f.interrupted = true
+}
+
+// MarkFollowed records that a call for changes was answered and all of them were
+// applied.
+func (f *Feeder) MarkFollowed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.markFollowed()
+}
+
+func (f *Feeder) markFollowed() {
+	if !f.lostAt.IsZero() || f.followedSince.IsZero() {
+		f.followedSince = time.Now()
+	}
+	f.lostAt = time.Time{}
 }
 
 // fail records a failed call to the store.
@@ -189,7 +220,7 @@
 	if page.Version > f.newest {
 		f.applyPage(page)
 	}
-	f.lostAt = time.Time{}
+	f.markFollowed()
 	return nil
 }
 
@@ -239,7 +270,7 @@
 	if page.Whole || len(page.Rows) > 0 {
 		f.apply(page.Rows, page.Whole, f.lostAt)
 	}
-	f.lostAt = time.Time{}
+	f.markFollowed()
 	if lastChange > f.lastChange {
 		f.lastChange = lastChange
 		f.signal()
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -174,3 +174,31 @@
 		assert.Equal(t, late["e"], time.Second)
 	})
 }
+
+// Guards against a time of contact that includes an interruption.
+func TestFollowedSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{results: []result{{page: page(5, "a")}, {page: page(6)}}}
+		feed := feeder.New(store, "table", func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
+		assertFollowed := func(want time.Time, wantFromStart bool) {
+			t.Helper()
+			since, fromStart := feed.FollowedSince()
+			assert.Equal(t, since, want)
+			assert.Equal(t, fromStart, wantFromStart)
+		}
+		assertFollowed(time.Time{}, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		startedAt := time.Now()
+		go feed.Run(ctx)
+		time.Sleep(10 * time.Second)
+		feed.MarkFollowed()
+		assertFollowed(startedAt, true)
+		feed.MarkLost(time.Now())
+		assertFollowed(time.Time{}, false)
+		time.Sleep(time.Second)
+		feed.MarkFollowed()
+		assertFollowed(time.Now(), false)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -199,7 +199,13 @@
 	if reply.Lost {
 		err = errSourceLostStore
 	}
-	return errors.Join(err, i.apply(reply, func(*feeder.Feeder) {}))
+	err = errors.Join(err, i.apply(reply, func(*feeder.Feeder) {}))
+	if err == nil {
+		for _, feed := range i.feeders {
+			feed.MarkFollowed()
+		}
+	}
+	return err
 }
 
 // pausePolling makes the feeders not poll the store before the time until,
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -77,6 +77,9 @@
 	// MinVersion is the oldest version of the weights that should still be
 	// used, RequiredVersion the oldest one on which a request may start.
 	MinVersion, RequiredVersion int
+	// Strict rules older versions than RequiredVersion out also while no endpoint at
+	// all serves that.
+	Strict bool
 }
 
 // Candidate is an endpoint that may be chosen.
@@ -120,6 +123,9 @@
 	Cost float64
 	// Full reports that the endpoint has no room for a long prompt now.
 	Full bool
+	// Outdated reports that the endpoint's weights are older than RequiredVersion, or
+	// without a candidate that those of all eligible ones are.
+	Outdated bool
 }
 
 // Choose returns the eligible candidate with the lowest cost, preferring
@@ -128,7 +134,11 @@
 	best := Choice{CandidateIndex: -1, SourceIndex: -1}
 	minVersion := minVersion(requirements, candidates)
 	for index, candidate := range candidates {
-		if candidate.Excluded || candidate.View.Left || candidate.View.Weights < minVersion {
+		if candidate.Excluded || candidate.View.Left {
+			continue
+		}
+		if candidate.View.Weights < minVersion {
+			best.Outdated = best.Outdated || best.CandidateIndex < 0
 			continue
 		}
 		choice := predict(requirements, candidate, index, sources)
@@ -141,7 +151,7 @@
 
 // minVersion returns the oldest version to be used: that which should be used if
 // an eligible candidate serves it, otherwise the required one. If no endpoint at
-// all serves that, an answer from older weights is better than none.
+// all serves that, older ones may be used unless the requirements are strict.
 func minVersion(requirements Requirements, candidates []Candidate) int {
 	serves, eligible := 0, 0
 	for _, candidate := range candidates {
@@ -156,7 +166,7 @@
 	switch {
 	case eligible >= requirements.MinVersion:
 		return requirements.MinVersion
-	case serves >= requirements.RequiredVersion:
+	case requirements.Strict || serves >= requirements.RequiredVersion:
 		return requirements.RequiredVersion
 	default:
 		return 0
@@ -166,7 +176,7 @@
 // predict returns the predicted latency and cost of the candidate at index.
 func predict(requirements Requirements, candidate Candidate, index int, sources []Source) Choice {
 	view := candidate.View
-	choice := Choice{CandidateIndex: index, SourceIndex: -1}
+	choice := Choice{CandidateIndex: index, SourceIndex: -1, Outdated: view.Weights < requirements.RequiredVersion}
 	if view.Engine == nil {
 		choice.UnscaledMillis = serviceMillis * (1 + float64(max(0, view.Load.Requests+1-view.Entry.Slots)))
 		choice.PredictedMillis = choice.UnscaledMillis * view.LatencyRatio
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -77,6 +77,26 @@
 	assert.Equal(t, placer.Choose(requirements, []placer.Candidate{old}, nil).CandidateIndex, 0, "no engine has newer weights")
 }
 
+// While no engine serves the required version, older ones are used unless the
+// requirements are strict.
+func TestStrict(t *testing.T) {
+	old := candidateIn("a", func(c *placer.Candidate) { c.View.Weights = 1 })
+	requirements := placer.Requirements{PromptTokens: 300, NewestVersion: 2, MinVersion: 2, RequiredVersion: 2}
+	choice := placer.Choose(requirements, []placer.Candidate{old}, nil)
+	assert.Equal(t, choice.CandidateIndex, 0)
+	assert.Assert(t, choice.Outdated)
+	requirements.Strict = true
+	choice = placer.Choose(requirements, []placer.Candidate{old}, nil)
+	assert.Equal(t, choice.CandidateIndex, -1)
+	assert.Assert(t, choice.Outdated)
+	choice = placer.Choose(requirements, []placer.Candidate{old, candidateIn("b", nil)}, nil)
+	assert.Equal(t, choice.CandidateIndex, 1)
+	assert.Assert(t, !choice.Outdated)
+	requirements.RequiredVersion = 0
+	assert.Equal(t, placer.Choose(requirements, []placer.Candidate{old}, nil).CandidateIndex, 0)
+	assert.Assert(t, !placer.Choose(requirements, nil, nil).Outdated)
+}
+
 // When every engine is at its limit for running requests, a long prompt waits
 // and a short one is placed at once.
 func TestFull(t *testing.T) {
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -66,9 +66,12 @@
 	if request.Model != "" {
 		versions := r.deps.Registrar.Versions(request.Model)
 		at := r.deps.Registrar.Now()
+		margin := r.deps.WeightsMargin / lateWeightsPart
 		requirements.NewestVersion = versions.Newest()
 		requirements.MinVersion = versions.Required(at.Add(r.deps.WeightsMargin))
-		requirements.RequiredVersion = versions.Required(at.Add(r.deps.WeightsMargin / lateWeightsPart))
+		requirements.RequiredVersion = versions.Required(at.Add(margin))
+		since, fromStart := r.deps.FollowedSince()
+		requirements.Strict = versions.Binding(requirements.RequiredVersion, since, fromStart, now.Add(margin-r.deps.WeightsPeriod))
 	}
 	if len(monitors) == 0 {
 		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is known", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
@@ -95,6 +98,9 @@
 		}
 	}
 	choice := placer.Choose(requirements, candidates, sources)
+	if choice.CandidateIndex < 0 && choice.Outdated {
+		return refuser.New(refuser.WrongWeights, judge.NotRun, "no endpoint of pool %s is left with version %d of the weights of %s", request.Pool.Name, requirements.RequiredVersion, request.Model).WithRetryAt(now.Add(retryAfter))
+	}
 	if choice.CandidateIndex < 0 {
 		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is left", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
 	}
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -28,9 +28,12 @@
 	}
 }
 
-// logPlaced logs the chosen endpoint before the request is sent, so that the
-// choice can be explained even if this instance crashes during the request.
-func (r *Relayer) logPlaced(e *exchange) {
+// recordPlaced counts and logs the chosen endpoint before the request is sent, so
+// that the choice can be explained even if this instance crashes during the request.
+func (r *Relayer) recordPlaced(e *exchange) {
+	if e.choice.Outdated {
+		r.deps.Count.Add("placed", "outdated")
+	}
 	if entry := r.deps.Log.Check(zap.InfoLevel, "request placed"); entry != nil {
 		entry.Write(r.logFields(e, r.deps.Now().Sub(e.request.ReceivedAt))...)
 	}
@@ -67,7 +70,7 @@
 	if e.request.Model == "" {
 		return fields
 	}
-	fields = append(fields, zap.Int("weights", view.Weights), zap.Int("newest", r.deps.Registrar.Versions(e.request.Model).Newest()),
+	fields = append(fields, zap.Int("weights", view.Weights), zap.Int("newest", r.deps.Registrar.Versions(e.request.Model).Newest()), zap.Bool("outdated", e.choice.Outdated),
 		zap.Int("prompt", e.request.PromptTokens), zap.Int("unread", e.choice.PrefillTokens))
 	if e.source != nil {
 		fields = append(fields, zap.String("source", e.source.Entry().Name))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -73,6 +73,13 @@
 	// sent to newer ones if an engine has them. In the last quarter of it no
 	// request is sent to older ones, since it may wait at the engine.
 	WeightsMargin time.Duration
+	// WeightsPeriod is how long older weights may be used after newer ones were
+	// announced.
+	WeightsPeriod time.Duration
+	// FollowedSince returns since when this instance has received the announcements
+	// without interruption, the zero time while it does not, and whether that is since
+	// its start.
+	FollowedSince func() (since time.Time, fromStart bool)
 	// AnnouncePart announces to the other instances that an endpoint caches a part,
 	// or is prefilling it if ready is false.
 	AnnouncePart func(endpoint *monitor.Monitor, part uint64, tokens int, ready bool)
@@ -173,12 +180,12 @@
 	var cause *refuser.Refusal
 	for {
 		if refusal := r.prepareAttempt(ctx, e, ran); refusal != nil {
-			if cause != nil && refusal.Code == refuser.NoEndpoint {
+			if cause != nil && (refusal.Code == refuser.NoEndpoint || refusal.Code == refuser.WrongWeights) {
 				refusal = cause.WithRetryAt(refusal.RetryAt)
 			}
 			return refusal.WithVerdict(max(ran, refusal.Ran))
 		}
-		r.logPlaced(e)
+		r.recordPlaced(e)
 		cause = r.runAttempt(ctx, e)
 		if cause == nil {
 			return nil
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -109,7 +109,8 @@
 	// instances.
 	PutRow   func(ctx context.Context, key string, value []byte) error
 	PeerRows func(ctx context.Context) ([]feeder.Row, error)
-	// Tables are the followed tables. The first is that of the configuration.
+	// Tables are the followed tables. The first is that of the configuration and of
+	// the announced weights.
 	Tables []FollowedTable
 	Dial   func(address string) (net.Conn, error)
 	// StoreNow returns the time by the clock of the platform's store, which may be
@@ -158,7 +159,9 @@
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
-		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond, AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, Count: count, Log: log, Now: time.Now,
+		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
+		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
+		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
--- a/versioner/versions.go
+++ b/versioner/versions.go
@@ -60,6 +60,17 @@
 	return required
 }
 
+// Binding reports whether a required version is to be kept to even while no endpoint
+// serves it. An instance that missed announcements serves what it can: the version is
+// binding if they have been received without interruption from the start on, or since
+// periodStart, one period ago. One whose OlderUntil is assumed is binding only then.
+func (v Versions) Binding(number int, followedSince time.Time, fromStart bool, periodStart time.Time) bool {
+	if followedSince.IsZero() {
+		return false
+	}
+	return fromStart && !v.Assumes(number) || !followedSince.After(periodStart)
+}
+
 // UsableUntil returns when requests must no longer start on a version, and
 // whether a newer one is known.
 func (v Versions) UsableUntil(number int) (until time.Time, obsolete bool) {
--- a/versioner/versions_test.go
+++ b/versioner/versions_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// A required version is binding for an instance that was in contact all the time, and
+// for one that was cut off only after a whole period.
+func TestBinding(t *testing.T) {
+	known, periodStart := versions(version(2, 0)), after(5)
+	assumed := versions(versioner.Version{Number: 2, OlderUntil: after(0), Assumed: true})
+	for name, test := range map[string]struct {
+		versions  versioner.Versions
+		since     time.Time
+		fromStart bool
+		want      bool
+	}{
+		"not followed":                   {known, time.Time{}, false, false},
+		"from the start":                 {known, after(6), true, true},
+		"assumed, from the start":        {assumed, after(6), true, false},
+		"assumed, for a period":          {assumed, after(5), true, true},
+		"interrupted":                    {known, after(6), false, false},
+		"interrupted more than a period": {known, after(5), false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.versions.Binding(2, test.since, test.fromStart, periodStart), test.want)
+		})
+	}
+}
+
 // An instance sends the versions that matter to one that has just started: also
 // the newest expired one, but no assumed ones.
 func TestCurrent(t *testing.T) {
