Keep the wait for a first source that begins during a check

Seen: TestWaitForTheFirstSource failed once beside a load of 31 processes (2 calls to the store instead of 1): an instance that starts in a large fleet followed the store itself while it waited for its first source.

Cause: followSource checked whether it waits and then let the feeders poll. If AwaitSource paused them in between, the check resumed them, and nothing paused them again.

Ruled out for the product: the test's own bounds. They were tight too: two sleeps of 1.2 s in a wait of 1.5 s, so that a late wake-up may end the wait first. It now compares the times of the calls with the wait itself, over all of it, instead of the count after sleeping.

Change: each check sets the pause to what holds then, so that the next one corrects it.

--- a/informer/informer.go
+++ b/informer/informer.go
@@ -146,9 +146,7 @@
 		}
 		connected = address
 		if address == "" {
-			if i.hadSource.Load() || time.Now().UnixNano() >= i.awaitUntil.Load() {
-				i.pausePolling(time.Time{})
-			}
+			i.pauseWithoutSource()
 			pacer.Wait(ctx, sourceCheckInterval)
 			continue
 		}
@@ -174,6 +172,16 @@
 	}
 }
 
+// pauseWithoutSource makes the feeders poll the store, unless the first source is
+// waited for.
+func (i *Informer) pauseWithoutSource() {
+	until := time.Unix(0, i.awaitUntil.Load())
+	if i.hadSource.Load() || !time.Now().Before(until) {
+		until = time.Time{}
+	}
+	i.pausePolling(until)
+}
+
 func (i *Informer) connect(address string) (*rpc.Client, error) {
 	conn, err := i.dial(address)
 	if err != nil {
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -18,14 +18,14 @@
 	"wisteriadrum/informer"
 )
 
-// store is a store of one table that counts calls and can fail.
+// store is a store of one table that records when it is called and can fail.
 type store struct {
 	mu      sync.Mutex
 	rows    []feeder.Row
 	version uint64
 	changed chan struct{}
 	down    bool
-	calls   int
+	calls   []time.Time
 }
 
 func newStore() *store { return &store{version: 1, changed: make(chan struct{})} }
@@ -51,10 +51,25 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) callCount() int {
+func (s *store) recordCall() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	s.calls = append(s.calls, time.Now())
+}
+
+func (s *store) callCount() int { return s.callsBetween(time.Time{}, time.Now()) }
+
+// callsBetween returns the number of calls that were made between two times.
+func (s *store) callsBetween(from, to time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, at := range s.calls {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return count
 }
 
 var errDown = errors.New("down")
@@ -75,17 +90,13 @@
 }
 
 func (s *store) Read(context.Context, string) (feeder.Page, error) {
-	s.mu.Lock()
-	s.calls++
-	s.mu.Unlock()
+	s.recordCall()
 	page, _, err := s.since(0)
 	return page, err
 }
 
 func (s *store) Watch(ctx context.Context, _ string, after uint64) (feeder.Page, error) {
-	s.mu.Lock()
-	s.calls++
-	s.mu.Unlock()
+	s.recordCall()
 	for {
 		page, changed, err := s.since(after)
 		if err != nil || len(page.Rows) > 0 {
@@ -249,15 +260,15 @@
 		}
 		return poll.Continue("the table was not read")
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
-	i.inform.AwaitSource(time.Now().Add(1500 * time.Millisecond))
-	time.Sleep(500 * time.Millisecond) // until the watch in progress has ended
-	before := table.callCount()
-	time.Sleep(700 * time.Millisecond)
-	assert.Equal(t, table.callCount(), before)
+	awaitedAt := time.Now()
+	until := awaitedAt.Add(1500 * time.Millisecond)
+	i.inform.AwaitSource(until)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if table.callCount() > before {
+		if table.callsBetween(until, time.Now()) > 0 {
 			return poll.Success()
 		}
 		return poll.Continue("the table is not followed")
 	}, poll.WithTimeout(10*time.Second))
+	inProgress := awaitedAt.Add(500 * time.Millisecond) // until the watch in progress has ended
+	assert.Equal(t, table.callsBetween(inProgress, until), 0)
 }
