Let each holder of the lease on orders that is lost cost no pause

What callers saw: after new weights were acknowledged, requests began on older ones beyond the bound (VERSION), on all three sites and without a loss of all instances, where the holder of the lease was killed, suspended or lost power two to six times, every 2.7 to 4 s.

Cause: a holder keeps a pause of a lease's use by another. Its own end was taken for a use although it had sent no order, so each loss began the pause anew; and the earlier process of the same instance was taken for another holder. The class of fault: a right that was held is taken for one that was used.

Ruled out: the time until a lease is noticed to have ended (1.8 s of the 6 s that a takeover took), and lost announcements (all instances had received the version within 4 ms).

Change: the lease is reserved first and acquired before the first order; its row carries the use before, so that the pause counts from the last holder that acquired it. The lease of an earlier process of the same instance, at the same address, is taken over at once. No order is sent on a lease that is only reserved.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,10 +35,12 @@
 // Lease is the exclusive right to act until ExpiresAt by the local clock.
 type Lease struct {
 	FencingToken uint64
-	// PreviousUse is an upper bound of the time at which another holder last used
-	// the lease, zero if there was no other holder.
+	// PreviousUse is an upper bound of the time at which another instance last used
+	// the lease, zero if there was no other.
 	PreviousUse time.Time
 	ExpiresAt   time.Time
+	// Reserved means that the holder must acquire the lease before it acts.
+	Reserved bool
 }
 
 // Valid reports whether the holder may still act at now.
@@ -78,11 +81,18 @@
 	// Until is an upper bound of the time at which the lease was or can be used
 	// last, in milliseconds by the table's clock, 0 if unknown.
 	Until int64 `json:"until,omitempty"`
+	// Reserved means that the holder has not used the lease.
+	Reserved bool `json:"reserved,omitempty"`
+	// Prior is an upper bound of the time at which another instance used the lease
+	// before the holder had it, in milliseconds by the table's clock, 0 if unknown.
+	Prior int64 `json:"prior,omitempty"`
 }
 
 // New returns a leaser of the lease in the row with a key. The holder's name
 // must be unique to each start of a process, so that a process never renews the
-// lease of an earlier one. tableNow returns the time by the table's clock, from which an
+// lease of an earlier one. If it is that of the instance, an @ and what is unique to the
+// start, the lease of an earlier process of the instance, which has ended, is taken over
+// at once. tableNow returns the time by the table's clock, from which an
 // instance that has just started knows that a lease has expired; it may be behind
 // that clock but never ahead, after a read of the table by no more than that took, and
 // returns false while it is unknown.
@@ -94,7 +104,13 @@
 // holder changes. The error is ErrHeld if another has the lease or after
 // Release, or an error of the table; after an error of the table the lease may
 // have been acquired, which the next call detects.
-func (l *Leaser) Acquire(ctx context.Context) (Lease, error) {
+func (l *Leaser) Acquire(ctx context.Context) (Lease, error) { return l.acquire(ctx, false) }
+
+// Reserve acquires or renews the lease like Acquire. Unless the holder has acquired it
+// before, it must do so before it acts: its successor then knows that it did not.
+func (l *Leaser) Reserve(ctx context.Context) (Lease, error) { return l.acquire(ctx, true) }
+
+func (l *Leaser) acquire(ctx context.Context, reserve bool) (Lease, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.released {
@@ -114,26 +130,35 @@
 	if rows[0].Version != l.rowVersion {
 		l.rowVersion, l.rowReadAt = rows[0].Version, l.now()
 	}
-	next := row{Holder: l.holder, FencingToken: old.FencingToken, Count: old.Count + 1}
+	next := row{Holder: l.holder, FencingToken: old.FencingToken, Count: old.Count + 1, Reserved: reserve && old.Reserved}
 	if old.Holder != l.holder {
-		if old.Holder != "" && begun.Before(l.rowReadAt.Add(l.terms.length()+l.terms.margin())) && !l.endedByTable(old) {
+		if old.Holder != "" && !l.isEarlierProcess(old.Holder) && begun.Before(l.rowReadAt.Add(l.terms.length()+l.terms.margin())) && !l.endedByTable(old) {
 			return Lease{}, ErrHeld
 		}
 		next.FencingToken++
+		next.Reserved = reserve
 		l.previousUse = l.lastUse(old, begun)
 	}
+	next.Prior = l.priorMillis(begun)
 	l.attempted = true
 	next.Until = l.tableMillis(l.terms.length() - l.terms.margin())
 	return l.write(ctx, next, rows[0].Version, begun)
 }
 
+// isEarlierProcess reports whether a holder was an earlier process of this instance.
+func (l *Leaser) isEarlierProcess(other string) bool {
+	name, _, named := strings.Cut(l.holder, "@")
+	otherName, _, _ := strings.Cut(other, "@")
+	return named && name == otherName
+}
+
 // endedByTable reports whether the lease in a row has ended by the table's clock.
 func (l *Leaser) endedByTable(old row) bool {
 	tableNow, known := l.tableNow()
 	return known && old.Until > 0 && !tableNow.Before(time.UnixMilli(old.Until).Add(l.terms.margin()))
 }
 
-// lastUse returns an upper bound of the time at which another holder last used the
+// lastUse returns an upper bound of the time at which another instance last used the
 // lease in a row, by the local clock. It is zero if there was no other holder.
 func (l *Leaser) lastUse(old row, begun time.Time) time.Time {
 	if old.FencingToken == 0 {
@@ -144,17 +169,31 @@
 	if old.Holder == "" {
 		bound, slack = l.rowReadAt.Add(-time.Duration(old.Idle)*time.Millisecond), 0
 	}
+	until := old.Until
+	if unused := old.Reserved || l.isEarlierProcess(old.Holder); unused && old.Prior > 0 {
+		until, slack = old.Prior, 0
+	}
 	tableNow, known := l.tableNow()
-	if !known || old.Until == 0 {
+	if !known || until == 0 {
 		return bound
 	}
-	byTable := l.now().Add(time.UnixMilli(old.Until).Sub(tableNow) + slack)
+	byTable := l.now().Add(time.UnixMilli(until).Sub(tableNow) + slack)
 	if byTable.Before(bound) {
 		return byTable
 	}
 	return bound
 }
 
+// priorMillis returns the time of the previous use by the table's clock, which was read
+// after begun, the first millisecond of that clock if there was none, and 0 if it is
+// unknown.
+func (l *Leaser) priorMillis(begun time.Time) int64 {
+	if l.previousUse.IsZero() {
+		return 1
+	}
+	return l.tableMillis(l.previousUse.Sub(begun)) // the estimate is not before the time at which the read began
+}
+
 // tableMillis returns the time by the table's clock after a duration, rounded up, and 0
 // if it is unknown.
 func (l *Leaser) tableMillis(after time.Duration) int64 {
@@ -211,5 +250,5 @@
 	if len(conflicts) > 0 {
 		return Lease{}, ErrHeld
 	}
-	return Lease{FencingToken: next.FencingToken, PreviousUse: l.previousUse, ExpiresAt: begun.Add(l.terms.length() - l.terms.margin())}, nil
+	return Lease{FencingToken: next.FencingToken, PreviousUse: l.previousUse, ExpiresAt: begun.Add(l.terms.length() - l.terms.margin()), Reserved: next.Reserved}, nil
 }
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -276,3 +277,61 @@
 	assert.NilError(t, err)
 	assert.Equal(t, next.PreviousUse, clock().Add(-time.Second), "PreviousUse must be the first read of the release less the idle time")
 }
+
+// Guards against a wait for the lease of an earlier process of the instance, which is
+// lost again and again with each holder, and against forgetting the use before that.
+func TestLeaseOfAnEarlierProcess(t *testing.T) {
+	now := time.UnixMilli(5000)
+	table := emulator.New(func() time.Time { return now }).Table()
+	other, _ := start(table, &now, "a@1", time.Hour, 0)
+	_, err := other.Acquire(t.Context())
+	assert.NilError(t, err)
+	now = now.Add(21 * time.Second) // 8 s after the last order of the other may arrive
+	for process := range 3 {
+		now = now.Add(100 * time.Millisecond)
+		l, clock := start(table, &now, fmt.Sprintf("b@%d", process), time.Duration(process)*time.Minute, 40*time.Millisecond)
+		lease, err := l.Acquire(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, lease.FencingToken, uint64(process+2))
+		idle, passed := clock().Sub(lease.PreviousUse), 8*time.Second+time.Duration(process+1)*100*time.Millisecond
+		assert.Check(t, idle <= passed && idle > passed-200*time.Millisecond, "idle for %s after %s", idle, passed)
+	}
+	stranger, _ := start(table, &now, "bb@1", 0, 0)
+	_, err = stranger.Acquire(t.Context())
+	assert.ErrorIs(t, err, leaser.ErrHeld)
+}
+
+// Guards against a pause after a holder that only reserved the lease, and against none
+// after one that acquired it then.
+func TestReservedLease(t *testing.T) {
+	for _, acquired := range []bool{false, true} {
+		now := time.UnixMilli(5000)
+		table := emulator.New(func() time.Time { return now }).Table()
+		first, _ := start(table, &now, "a@1", time.Hour, 0)
+		_, err := first.Acquire(t.Context())
+		assert.NilError(t, err)
+		now = now.Add(14 * time.Second) // 1 s after the last order of the first may arrive
+		second, _ := start(table, &now, "b@1", 0, 0)
+		lease, err := second.Reserve(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, lease.Reserved)
+		if acquired {
+			lease, err = second.Acquire(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, !lease.Reserved)
+			lease, err = second.Reserve(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, !lease.Reserved, "a holder that may have used the lease can only renew it")
+		}
+		now = now.Add(15 * time.Second)
+		third, clock := start(table, &now, "c@1", time.Minute, 0)
+		lease, err = third.Acquire(t.Context())
+		assert.NilError(t, err)
+		want := 16 * time.Second
+		if acquired {
+			want = 2 * time.Second // 7 s of use and two margins of 3 s
+		}
+		idle := clock().Sub(lease.PreviousUse)
+		assert.Check(t, idle <= want && idle > want-10*time.Millisecond, "idle for %s, acquired: %t", idle, acquired)
+	}
+}
--- a/roller/lease.go
+++ b/roller/lease.go
@@ -12,8 +12,8 @@
 	"wisteriadrum/pacer"
 )
 
-// acquire renews the lease, or acquires it if no candidate precedes this instance. It
-// reports whether this instance holds the lease.
+// acquire renews the lease, or acquires it if no candidate precedes this instance. As
+// long as this instance has to pause, the lease is only reserved. It reports whether this instance holds the lease.
 func (r *Roller) acquire(ctx context.Context) bool {
 	if r.now().Before(r.acquireAt) || !r.held.Load().Valid(r.now()) && !r.isNext() {
 		return false
@@ -23,7 +23,11 @@
 	if r.hasStopped() {
 		return false
 	}
-	held, err := r.lease.Acquire(limit)
+	take := r.lease.Reserve
+	if held := r.held.Load(); held.Valid(r.now()) && !r.pausing(held) {
+		take = r.lease.Acquire
+	}
+	held, err := take(limit)
 	if err != nil {
 		r.count.Add("orders", "no-lease")
 		r.sharer.SetLeading(false)
@@ -41,6 +45,11 @@
 	return held.Valid(r.now())
 }
 
+// pausing reports whether another instance may have sent an order too recently.
+func (r *Roller) pausing(held leaser.Lease) bool {
+	return !held.PreviousUse.IsZero() && r.now().Before(held.PreviousUse.Add(r.orderPause))
+}
+
 // isNext reports whether this instance is a candidate and those that precede it have had
 // time to acquire the lease.
 func (r *Roller) isNext() bool {
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -191,7 +191,7 @@
 	if !held.Valid(now.Add(callTimeout/2)) && !r.acquire(ctx) {
 		return true
 	}
-	if since := r.held.Load().PreviousUse; !since.IsZero() && r.now().Before(since.Add(r.orderPause)) {
+	if r.pausing(r.held.Load()) || r.held.Load().Reserved && !r.acquire(ctx) {
 		return true
 	}
 	for _, t := range tasks {
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -211,7 +211,7 @@
 	count := counter.New(metrics.NewRegistry())
 	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
 	stateSharer := sharer.New(self, incarnation, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, count, zap.NewNop()), count, zap.NewNop(), time.Now)
-	lease := leaser.New(table, "lease", name, leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, tableNow)
+	lease := leaser.New(table, "lease", fmt.Sprintf("%s@%d", name, incarnation), leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, tableNow)
 	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
 
@@ -261,6 +261,41 @@
 	})
 }
 
+// Guards against weights that are never rolled out while each holder of the lease is lost
+// soon: one instance that is restarted, or others in turn.
+func TestHoldersLostInSeries(t *testing.T) {
+	for name, test := range map[string]struct {
+		holders []string
+		// maxOutdated is the number of engines with old weights at the end: the first
+		// holder orders two, and of several the last one that has no time for all.
+		maxOutdated int
+	}{
+		"one instance": {[]string{"a", "a", "a"}, 0},
+		"in turn":      {[]string{"a", "b", "c"}, engineCount - 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engines, table := newFleet(), emulator.New(time.Now).Table()
+				for incarnation, name := range test.holders {
+					ctx, cancel := context.WithCancel(t.Context())
+					state := newState()
+					r, _ := newRoller(name, int64(incarnation), lossyConn{}, state, engines, table, knownClock)
+					state.AddVersion("m", announced(2))
+					go r.Run(ctx)
+					lostAfter := 2700 * time.Millisecond // before the pause after the first holder has passed
+					if incarnation == 0 {
+						lostAfter = 100 * time.Millisecond
+					}
+					time.Sleep(lostAfter)
+					cancel()
+				}
+				time.Sleep(time.Second) // until the last updates have ended
+				assert.Assert(t, engines.outdated(2) <= test.maxOutdated, "%d engines have old weights", engines.outdated(2))
+			})
+		})
+	}
+}
+
 // Guards against a lease that goes to any of the instances when its holder stops:
 // it must go to the one that started last, since a restart in turn would stop the
 // others soon, and each handover costs a pause.
--- a/roller/update.go
+++ b/roller/update.go
@@ -73,14 +73,14 @@
 // errNotSent means that no order was sent.
 var errNotSent = errors.New("order was not sent")
 
-// sendOrder sends an order unless the lease has ended, the roller has stopped
-// or the endpoint has left.
+// sendOrder sends an order unless the lease has ended or is only reserved, the roller
+// has stopped or the endpoint has left.
 func (r *Roller) sendOrder(ctx context.Context, endpoint *monitor.Monitor, t task, acceptedOrders int) (Order, error) {
 	r.ordering.RLock()
 	defer r.ordering.RUnlock()
 	held := r.held.Load()
 	order := Order{Model: t.model, Version: t.version, FencingToken: held.FencingToken, ExpectedOrders: acceptedOrders}
-	if r.stopped || !held.Valid(r.now()) || endpoint.Left(time.Now()) {
+	if r.stopped || held.Reserved || !held.Valid(r.now()) || endpoint.Left(time.Now()) {
 		return order, errNotSent
 	}
 	r.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -164,7 +164,7 @@
 		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
-	holder := options.Name + "@" + time.Now().UTC().Format(time.RFC3339Nano)
+	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
 	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow, deps.StoreNow)
 	orderPause := time.Duration(options.OrderPauseMillis) * time.Millisecond
 	r.roller = roller.New(options.Name, state, deps.Engines, lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
