Correct a later time of weights in the archive

After all instances were lost, those that started could use older weights for longer than any instance had known to be right.

Cause: the archive kept the time of its first writer. An instance that learns of new weights late counts a whole period, until a heartbeat brings the earlier time after up to half a second; the first candidate writes the row within a quarter. A time by a clock of the store that has started anew since stayed, too.

Ruled out: instances that keep the later time themselves; the earlier one applies there.

Change: a version is also missing in the row if its time there is later by more than the estimates of the store's clock differ.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -16,6 +16,10 @@
 // maxParts bounds the refused parts that are kept: those that expire last.
 const maxParts = 64
 
+// clockTolerance is the difference between times of instances that their estimates of the
+// table's clock explain. A version is not written again for less.
+const clockTolerance = 200 * time.Millisecond
+
 // archive is the value of the row.
 type archive struct {
 	Versions []version `json:"versions"`
@@ -78,13 +82,16 @@
 	return byModel
 }
 
-// WithVersions returns the archive with the versions that it lacks, and whether it lacked
-// any. Those that no longer matter at now are removed. All times are by the table's clock.
+// WithVersions returns the archive with the versions that it lacks or has with a later
+// time, and whether there were any. Those that no longer matter at now are removed. All
+// times are by the table's clock.
 func (a archive) WithVersions(added map[string]versioner.Versions, now time.Time) (next archive, changed bool) {
 	byModel := a.versions()
 	for model, versions := range added {
 		for _, v := range versions {
-			if !byModel[model].Contains(v.Number) {
+			atLatest := v
+			atLatest.OlderUntil = v.OlderUntil.Add(clockTolerance)
+			if _, differs := byModel[model].With(atLatest); differs {
 				byModel[model], _ = byModel[model].With(v)
 				changed = true
 			}
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -97,6 +97,28 @@
 	assert.Equal(t, i.left(2), time.Minute)
 }
 
+// Guards against a time in the row that outlives an earlier one, which the instances have
+// agreed on since, and against writes for differences of the clocks' estimates.
+func TestEarlierTimeReplacesLaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := emulator.New(time.Now).Table()
+		first := start(t, table, 0, time.Hour)
+		first.announce(2, 12*time.Second, false)
+		time.Sleep(time.Second)
+		first.announce(2, 8*time.Second, false)
+		time.Sleep(time.Second)
+		first.announce(2, 7*time.Second-50*time.Millisecond, false)
+		time.Sleep(time.Second)
+		first.stop()
+		second := start(t, table, 0, 0)
+		defer second.stop()
+		second.announce(2, 3*time.Second, true)
+		second.Restore(read(t, table).Value)
+		assert.Equal(t, second.left(2), 6*time.Second)
+		assert.Equal(t, read(t, table).Version, uint64(2))
+	})
+}
+
 // Guards against an assumed time that is kept as if it were known.
 func TestAssumedAgeIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
