Count the age of weights from when the announcement was made

What callers saw: after all instances were suspended while new weights were announced, requests could begin on older ones later than the bound.

Cause: an announcement that is received late was noticed only if an answer of the store was missing. The answer to a request for changes that waits while the process is suspended is not missing, so a whole period was counted from its receipt; where no other instance knew better, that stayed, and the archive kept it.

Ruled out: a single suspended instance; the heartbeats of the others tell it the time left within half a second.

Change: the store's time in an answer and the estimate of its clock tell how long ago the answer was made; rows in an older answer changed then, not now.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -25,6 +25,9 @@
 	// quick succession need one call only.
 	batchPause  = 100 * time.Millisecond
 	readTimeout = 3 * time.Second
+	// minLateAge is the age from which on a page is late, as after the process was
+	// suspended: more than the differences between the times of answers.
+	minLateAge = 100 * time.Millisecond
 	// maxDeleted bounds the number of deleted rows that are kept to send the
 	// deletions to other instances.
 	maxDeleted = 1000
@@ -268,7 +271,7 @@
 	}
 	f.watchFrom, f.newest = page.Version, page.Version
 	if page.Whole || len(page.Rows) > 0 {
-		f.apply(page.Rows, page.Whole, f.lostAt)
+		f.apply(page.Rows, page.Whole, f.changedAfter(page.Age))
 	}
 	f.markFollowed()
 	if lastChange > f.lastChange {
@@ -277,6 +280,16 @@
 	}
 }
 
+// changedAfter returns the time after which the rows of a page changed that was made so
+// long ago, zero if that was just now. The caller holds the lock.
+func (f *Feeder) changedAfter(age time.Duration) time.Time {
+	madeAt := time.Now().Add(-age)
+	if age < minLateAge || !f.lostAt.IsZero() && f.lostAt.Before(madeAt) {
+		return f.lostAt
+	}
+	return madeAt
+}
+
 // signal wakes the receivers of Changed. The caller holds the lock.
 func (f *Feeder) signal() {
 	close(f.changed)
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -61,6 +61,12 @@
 	return p
 }
 
+// aged returns a page that was made so long ago.
+func aged(page feeder.Page, age time.Duration) feeder.Page {
+	page.Age = age
+	return page
+}
+
 // Guards against lost or repeated changes after a failed call, against a feeder
 // that does not read the whole table when the store has discarded its history,
 // and against an outdated read that replaces newer rows.
@@ -150,10 +156,10 @@
 }
 
 // Guards against a change that is taken for a recent one although answers were missing
-// when it was made.
+// when it was made, or its own was late.
 func TestLateChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &scriptedStore{results: []result{{page: page(5, "a")}, {page: page(6, "b")}, {err: errors.New("cut")}, {err: errors.New("cut")}, {page: page(7, "c")}, {page: page(8, "d")}}}
+		store := &scriptedStore{results: []result{{page: page(5, "a")}, {page: page(6, "b")}, {err: errors.New("cut")}, {err: errors.New("cut")}, {page: page(7, "c")}, {page: aged(page(8, "d"), 50*time.Millisecond)}, {page: aged(page(9, "f"), 2*time.Second)}}}
 		late := map[string]time.Duration{}
 		ctx, cancel := context.WithCancel(t.Context())
 		feed := feeder.New(store, "table", func(rows []feeder.Row, _ bool, since time.Time) {
@@ -165,13 +171,17 @@
 		time.Sleep(30 * time.Second)
 		cancel()
 		synctest.Wait()
-		assert.Equal(t, len(late), 1)
+		assert.Equal(t, len(late), 2)
+		assert.Equal(t, late["f"], 2*time.Second)
 		assert.Assert(t, late["c"] > 100*time.Millisecond && late["c"] < time.Second, "late by %s", late["c"])
 		assert.Assert(t, feed.ApplyFromPeer(page(19, "x")))
 		feed.MarkLost(time.Now().Add(-time.Second))
 		feed.MarkLost(time.Now())
 		assert.Assert(t, feed.ApplyFromPeer(page(20, "e")))
 		assert.Equal(t, late["e"], time.Second)
+		feed.MarkLost(time.Now().Add(-3 * time.Second))
+		assert.Assert(t, feed.ApplyFromPeer(aged(page(21, "g"), time.Second)))
+		assert.Equal(t, late["g"], 3*time.Second)
 	})
 }
 
--- a/feeder/page.go
+++ b/feeder/page.go
@@ -25,6 +25,8 @@
 	// Content is the version of the last change as known by the sender, 0 if it
 	// follows from the rows.
 	Content uint64
+	// Age is how long ago the sender made the page, as far as known.
+	Age time.Duration
 }
 
 // Store is the store of the platform.
@@ -38,5 +40,5 @@
 }
 
 // Apply applies rows: the whole table, or the changed rows. They changed just now, or at
-// any time after since if that is not zero, since answers were missing.
+// any time after since if that is not zero, since answers were missing or late.
 type Apply func(rows []Row, whole bool, since time.Time)
--- a/synchronizer/synchronizer.go
+++ b/synchronizer/synchronizer.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// Age returns how long ago it was the remote time, 0 before the first answer.
+func (s *Synchronizer) Age(remote time.Time) time.Duration {
+	now, known := s.Now()
+	if !known {
+		return 0
+	}
+	return max(0, now.Sub(remote))
+}
+
 // Now returns the estimated remote time, and false before the first answer.
 func (s *Synchronizer) Now() (time.Time, bool) {
 	s.mu.Lock()
--- a/synchronizer/synchronizer_test.go
+++ b/synchronizer/synchronizer_test.go
@@ -15,6 +15,7 @@
 	clock := synchronizer.New(func() time.Time { return local })
 	_, known := clock.Now()
 	assert.Assert(t, !known)
+	assert.Equal(t, clock.Age(remote), time.Duration(0))
 	pass := func(d time.Duration) { local, remote = local.Add(d), remote.Add(d) }
 	behind := time.Duration(1<<63 - 1)
 	for _, latency := range []time.Duration{800, 20, 300, 5, 1000} {
@@ -26,6 +27,7 @@
 		estimate, known := clock.Now()
 		assert.Assert(t, known)
 		assert.Equal(t, remote.Sub(estimate), behind)
+		assert.Equal(t, clock.Age(sent), time.Second+latency*time.Millisecond-behind)
 	}
 }
 
