Order engines that failed to update after the others

What callers saw: after new weights were acknowledged, requests began on older ones beyond the bound (VERSION), and engines had them still at the end, while engines left orders unanswered.

Cause: each engine whose order failed was a candidate again at once, and preferred, since it had been emptied for the order.

Ruled out: the lease; one instance held it all the time.

Change: candidates are sorted by the failures since the last update that succeeded, after their version.

Evidence: TestUnansweredOrders; of the first ten orders five engines had one before, now all nine.

--- a/roller/plan.go
+++ b/roller/plan.go
@@ -1,8 +1,9 @@
 package roller
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"wisteriadrum/monitor"
@@ -15,6 +16,8 @@
 	InFlight int
 	// Version is the version of the weights that it has.
 	Version int
+	// Failures is the number of updates since its last successful one.
+	Failures int
 }
 
 // enginesPerLoad limits the engines that load weights at the same time to one in
@@ -51,19 +54,17 @@
 }
 
 // Plan returns the engines to order next. It prefers the oldest weights, so that
-// few requests start on them, and then the fewest requests in flight, since these
-// finish first.
+// few requests start on them, then the fewest failures, so that an engine which does
+// not execute orders keeps no other waiting, and then the fewest requests in flight,
+// since these finish first.
 func Plan(rollout Rollout, now time.Time) []OutdatedEngine {
 	room := rollout.loading(now) - rollout.Updating
 	if room <= 0 {
 		return nil
 	}
 	next := append([]OutdatedEngine(nil), rollout.Candidates...)
-	sort.SliceStable(next, func(a, b int) bool {
-		if next[a].Version != next[b].Version {
-			return next[a].Version < next[b].Version
-		}
-		return next[a].InFlight < next[b].InFlight
+	slices.SortStableFunc(next, func(a, b OutdatedEngine) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Failures, b.Failures), cmp.Compare(a.InFlight, b.InFlight))
 	})
 	return next[:min(room, len(next))]
 }
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -117,6 +117,8 @@
 	lastOrder time.Time
 	mu        sync.Mutex
 	updating  map[uint64]bool
+	// failures counts the updates of an engine since its last successful one.
+	failures map[uint64]int
 	// updateMillis is a moving average of the time that an update took.
 	updateMillis float64
 	// retryAt is when an engine that did not report is called again.
@@ -127,7 +129,7 @@
 // time between the last order of one lease holder and the first of the next.
 // now is a clock that continues while the process is suspended.
 func New(name string, state *registrar.Registrar, engines EngineClient, lease *leaser.Leaser, stateSharer *sharer.Sharer, orderPause time.Duration, count *counter.Counter, log *zap.Logger, now func() time.Time) *Roller {
-	return &Roller{name: name, registrar: state, engines: engines, lease: lease, sharer: stateSharer, orderPause: orderPause, count: count, log: log, now: now, updating: map[uint64]bool{}, retryAt: map[uint64]time.Time{}}
+	return &Roller{name: name, registrar: state, engines: engines, lease: lease, sharer: stateSharer, orderPause: orderPause, count: count, log: log, now: now, updating: map[uint64]bool{}, failures: map[uint64]int{}, retryAt: map[uint64]time.Time{}}
 }
 
 // Run sends orders until ctx ends.
@@ -218,7 +220,7 @@
 				t.addOutdated(until)
 			}
 			if view.Weights < versions.Newest() && !r.isUnavailable(endpoint.Key) {
-				t.candidates = append(t.candidates, OutdatedEngine{Endpoint: endpoint, InFlight: view.Load.Requests, Version: view.Weights})
+				t.candidates = append(t.candidates, OutdatedEngine{Endpoint: endpoint, InFlight: view.Load.Requests, Version: view.Weights, Failures: r.failureCount(endpoint.Key)})
 			}
 		}
 		if t.outdated > 0 {
@@ -243,6 +245,14 @@
 	return Rollout{Engines: t.engines, Updating: len(r.updating), Outdated: t.outdated, Candidates: t.candidates, OlderUntil: t.olderUntil, UpdateMillis: r.updateMillis}
 }
 
+// failureCount returns the number of updates of an engine since its last successful
+// one.
+func (r *Roller) failureCount(key uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures[key]
+}
+
 // isUnavailable reports whether an engine is being updated, or is not to be
 // called yet because it did not report or was called recently.
 func (r *Roller) isUnavailable(key uint64) bool {
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -52,6 +52,8 @@
 	maxLoading   int
 	// loadTime is how long an engine loads weights.
 	loadTime time.Duration
+	// unanswered makes the engines answer no order and never execute it.
+	unanswered bool
 }
 
 func newFleet() *fleet {
@@ -80,6 +82,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orders = append(c.orders, receivedOrder{holder: c.holder, engine: engine.Name, order: order, at: time.Now()})
+	if c.unanswered {
+		return roller.ErrOutcomeUnknown
+	}
 	if c.busy[engine.Name] || c.accepted[engine.Name] != order.ExpectedOrders {
 		return roller.ErrBusy
 	}
@@ -261,6 +266,27 @@
 	})
 }
 
+// Guards against engines that execute no orders and are ordered again and again before
+// the others are for the first time.
+func TestUnansweredOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		engines := newFleet()
+		engines.unanswered = true
+		_, state := instance(ctx, t, "a", engines, emulator.New(time.Now).Table())
+		state.AddVersion("m", announced(2))
+		time.Sleep(30 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		ordered := map[string]bool{}
+		for _, order := range engines.orders[:engineCount+1] { // two are ordered at once
+			ordered[order.engine] = true
+		}
+		assert.Equal(t, len(ordered), engineCount)
+	})
+}
+
 // Guards against weights that are never rolled out while each holder of the lease is lost
 // soon: one instance that is restarted, or others in turn.
 func TestHoldersLostInSeries(t *testing.T) {
@@ -521,6 +547,8 @@
 	}
 	next := plan(9, 0, 0, time.Minute, outdated)
 	assert.Equal(t, next[0], outdated[2], "the oldest weights come first, then the fewest requests in flight")
+	outdated[2].Failures = 1
+	assert.Equal(t, plan(9, 0, 0, time.Minute, outdated)[0], outdated[1], "engines that failed come last")
 	assert.Equal(t, len(plan(9, 3, 0, time.Minute, outdated)), 0)
 	assert.Equal(t, len(plan(1, 0, 0, time.Minute, outdated)), 1, "a single engine must be ordered")
 	all := make([]roller.OutdatedEngine, 60)
--- a/roller/update.go
+++ b/roller/update.go
@@ -23,9 +23,12 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.updating, endpoint.Key)
-		if endpoint.Weights(t.model) >= t.version {
-			r.recordUpdate(float64(r.now().Sub(startedAt).Milliseconds()))
+		if endpoint.Weights(t.model) < t.version {
+			r.failures[endpoint.Key]++
+			return
 		}
+		delete(r.failures, endpoint.Key)
+		r.recordUpdate(float64(r.now().Sub(startedAt).Milliseconds()))
 	}()
 }
 
