Send no request to older weights in the last tenth of their time

Cause: a request that is sent in time may wait at an engine beyond the margin of a twentieth of the bound, 0.4 s there.

Ruled out: instances that use the older weights longer; no request was placed on them after the margin.

Change: the margin is a tenth, half of the time in which newer weights are preferred.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -38,7 +38,7 @@
 	roomCheckInterval = 20 * time.Millisecond
 	// lateWeightsPart is the part of WeightsMargin in which no request is sent to
 	// older weights any more.
-	lateWeightsPart = 4
+	lateWeightsPart = 2
 	// retryAfter is the default delay after which a caller may retry: about the
 	// time until a change of the endpoints appears in their list.
 	retryAfter = time.Second
@@ -70,7 +70,7 @@
 	// DataCentre is the data centre of this instance.
 	DataCentre string
 	// WeightsMargin is how long before older weights go out of use requests are
-	// sent to newer ones if an engine has them. In the last quarter of it no
+	// sent to newer ones if an engine has them. In the last half of it no
 	// request is sent to older ones, since it may wait at the engine.
 	WeightsMargin time.Duration
 	// WeightsPeriod is how long older weights may be used after newer ones were
