Wait until requests run in the tests of planned stops

What was seen: no failure, but a thin margin in TestStoppedEndpointGetsNoNewWork. Beside load (load average 10 to 20 on 8 cores) its first request reached engine 0 after up to 148 ms and all 12 requests were there after up to 248 ms (5 runs, 15 cases); the test slept 300 ms.

Cause: the test, a fixed wait until requests are in progress.

Change: it waits until the engines have received all 12 requests. So does TestPlannedStopOfAnInstance with its 10, of which some could arrive after the signal before and were then not in progress. What is asserted is the same.

--- a/launcher/control_test.go
+++ b/launcher/control_test.go
@@ -96,7 +96,7 @@
 					assert.Check(t, got.complete, got.code)
 				})
 			}
-			time.Sleep(300 * time.Millisecond)
+			awaitRequests(t, deployment, 12)
 			assert.Assert(t, deployment.Engines[0].Stats().Requests > 0)
 			drain(t, deployment)
 			time.Sleep(drainDelay)
@@ -111,6 +111,18 @@
 	}
 }
 
+// awaitRequests waits until the engines have received count requests.
+func awaitRequests(t *testing.T, deployment *launcher.Deployment, count int) {
+	t.Helper()
+	eventually(t, 10*time.Second, "the requests have not reached the engines", func() bool {
+		received := 0
+		for _, engine := range deployment.Engines {
+			received += engine.Stats().Requests
+		}
+		return received >= count
+	})
+}
+
 // An instance that shuts down gracefully must neither cut off requests in
 // flight nor refuse those that still arrive.
 func TestPlannedStopOfAnInstance(t *testing.T) {
@@ -122,7 +134,7 @@
 			assert.Check(t, got.complete, got.code)
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	awaitRequests(t, deployment, 10)
 	ended := deployment.Instances[0].Stop()
 	eventually(t, time.Second, "the instance is still ready", func() bool { return !deployment.Instances[0].Ready() })
 	got := call(t, request{target: deployment.CallerAddresses()[0], path: "/v1/completions", body: prompt("after the signal", 2, true)})
