--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -106,8 +106,8 @@
 // have been acquired, which the next call detects.
 func (l *Leaser) Acquire(ctx context.Context) (Lease, error) { return l.acquire(ctx, false) }
 
-// Reserve acquires or renews the lease like Acquire. Unless the holder has acquired it
-// before, it must do so before it acts: its successor then knows that it did not.
+// Reserve acquires or renews the lease like Acquire, but a holder that only reserved it
+// must not act. Its successor finds in the row that the lease was not used.
 func (l *Leaser) Reserve(ctx context.Context) (Lease, error) { return l.acquire(ctx, true) }
 
 func (l *Leaser) acquire(ctx context.Context, reserve bool) (Lease, error) {
