--- a/roller/lease.go
+++ b/roller/lease.go
@@ -13,7 +13,8 @@
 )
 
 // acquire renews the lease, or acquires it if no candidate precedes this instance. As
-// long as this instance has to pause, the lease is only reserved. It reports whether this instance holds the lease.
+// long as this instance has to pause, the lease is only reserved. It reports whether
+// this instance holds the lease.
 func (r *Roller) acquire(ctx context.Context) bool {
 	if r.now().Before(r.acquireAt) || !r.held.Load().Valid(r.now()) && !r.isNext() {
 		return false
--- a/roller/plan.go
+++ b/roller/plan.go
@@ -16,7 +16,7 @@
 	InFlight int
 	// Version is the version of the weights that it has.
 	Version int
-	// Failures is the number of updates since its last successful one.
+	// Failures is the number of its updates that failed since one succeeded.
 	Failures int
 }
 
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -117,7 +117,7 @@
 	lastOrder time.Time
 	mu        sync.Mutex
 	updating  map[uint64]bool
-	// failures counts the updates of an engine since its last successful one.
+	// failures counts the updates of an engine that failed since one succeeded.
 	failures map[uint64]int
 	// updateMillis is a moving average of the time that an update took.
 	updateMillis float64
@@ -245,8 +245,8 @@
 	return Rollout{Engines: t.engines, Updating: len(r.updating), Outdated: t.outdated, Candidates: t.candidates, OlderUntil: t.olderUntil, UpdateMillis: r.updateMillis}
 }
 
-// failureCount returns the number of updates of an engine since its last successful
-// one.
+// failureCount returns the number of updates of an engine that failed since one
+// succeeded.
 func (r *Roller) failureCount(key uint64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
