Confirm followed tables by other calls than their watches

Cause: a bound on knowledge that rests on silence. A watch whose answer was lost while the store was silent delivers nothing any more, which cannot be told from a table that does not change; it counted as lost after its timeout of 12 s, and the next watch, begun in the silence too, after 12 s more.

Ruled out: instances that pass changes on too slowly (none had them), and changes that are known and not applied (in force within 0.2 s of the timeout).

Each instance now knows up to when it has all changes of a table, by the store's clock, tells the others, and asks the store again at half of the bound at the latest.

--- a/feeder/contact.go
+++ b/feeder/contact.go
@@ -40,6 +40,17 @@
 	f.lostAt = time.Time{}
 }
 
+// markUnanswered records that a call for changes that began at a time was not answered.
+// What was confirmed since was not missed.
+func (f *Feeder) markUnanswered(begun time.Time) {
+	f.mu.Lock()
+	if completeAt := f.confirm.CompleteAt(); completeAt.After(begun) {
+		begun = completeAt
+	}
+	f.mu.Unlock()
+	f.MarkLost(begun)
+}
+
 // changedAfter returns the time after which the rows of a page changed that was made so
 // long ago, zero if that was just now. The caller holds the lock.
 func (f *Feeder) changedAfter(age time.Duration) time.Time {
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -7,14 +7,17 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"wisteriadrum/confirmer"
 	"wisteriadrum/counter"
 	"wisteriadrum/pacer"
+	"wisteriadrum/repeater"
 )
 
 const (
@@ -38,8 +41,11 @@
 
 // Feeder follows one table.
 type Feeder struct {
-	store     Store
-	table     string
+	store Store
+	table string
+	// repeatMillis is the interval at which a call is made again until it is answered.
+	repeatMillis int
+
 	apply     Apply
 	count     *counter.Counter
 	log       *zap.Logger
@@ -67,11 +73,22 @@
 	// sends the changes. resumed is closed when that time is brought forward.
 	pausedUntil time.Time
 	resumed     chan struct{}
+	confirm     confirmer.Confirmer
+	// dueSooner is closed when the table has to be confirmed earlier than before, and
+	// watchLost when the call for changes in progress is not waited for any more.
+	dueSooner chan struct{}
+	watchLost chan struct{}
+	// confirmed receives a value when the store has confirmed the table.
+	confirmed chan struct{}
 }
 
-// New returns a feeder that passes rows to apply.
-func New(store Store, table string, apply Apply, count *counter.Counter, log *zap.Logger) *Feeder {
-	return &Feeder{store: store, table: table, apply: apply, count: count, log: log, rows: map[string]Row{}, changed: make(chan struct{}), resumed: make(chan struct{})}
+// New returns a feeder that passes rows to apply. All changes must be known within
+// boundMillis; 0 means that no watch is confirmed.
+func New(store Store, table string, boundMillis int, apply Apply, count *counter.Counter, log *zap.Logger) *Feeder {
+	return &Feeder{
+		store: store, table: table, repeatMillis: boundMillis / 2, apply: apply, count: count, log: log, rows: map[string]Row{}, changed: make(chan struct{}), resumed: make(chan struct{}),
+		confirm: confirmer.New(boundMillis, rand.Float64), dueSooner: make(chan struct{}), watchLost: make(chan struct{}), confirmed: make(chan struct{}, 1),
+	}
 }
 
 // Name returns the name of the table.
@@ -131,6 +148,7 @@
 
 // Run follows the table until ctx ends.
 func (f *Feeder) Run(ctx context.Context) {
+	go f.confirmWhenDue(ctx)
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		if f.awaitPause(ctx) {
@@ -139,13 +157,11 @@
 		begun := time.Now()
 		err := f.poll(ctx)
 		if err != nil {
-			f.MarkLost(begun)
+			f.markUnanswered(begun)
 		}
 		switch {
 		case err == nil:
-			if f.storeDown.Swap(false) {
-				f.log.Info("store answers again", zap.String("table", f.table), zap.Uint64("version", f.Version()))
-			}
+			f.recordAnswer()
 			pause = minRetryPause
 			pacer.Wait(ctx, batchPause)
 		case errors.Is(err, ErrHistoryGone):
@@ -159,13 +175,14 @@
 	}
 }
 
-// fail records a failed call to the store.
+// fail records a failed call to the store. The store counts as down unless the table was
+// confirmed by another call.
 func (f *Feeder) fail(ctx context.Context, err error) {
 	f.count.Add("store", "failed")
-	if ctx.Err() == nil && !f.storeDown.Swap(true) {
-		f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("version", f.Version()), zap.String("error", err.Error()))
-		f.mu.Lock()
-		defer f.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() == nil && f.confirm.Outdated(time.Now()) && !f.storeDown.Swap(true) {
+		f.log.Warn("store does not answer", zap.String("table", f.table), zap.Uint64("version", f.newest), zap.String("error", err.Error()))
 		f.signal()
 	}
 }
@@ -177,19 +194,42 @@
 		return f.read(ctx)
 	}
 	f.count.Add("store", "watches")
-	page, err := f.store.Watch(ctx, f.table, after)
-	if err != nil {
+	page, err := f.watch(ctx, after)
+	if err != nil || page == nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if page.Version > f.newest {
-		f.applyPage(page)
+		f.applyPage(*page)
 	}
 	f.markFollowed()
+	f.markComplete(time.Now().Add(-page.Age))
 	return nil
 }
 
+// watch waits for changes. It returns nil once the changes were received otherwise.
+func (f *Feeder) watch(ctx context.Context, after uint64) (*Page, error) {
+	type answer struct {
+		page Page
+		err  error
+	}
+	f.mu.Lock()
+	lost := f.watchLost
+	f.mu.Unlock()
+	answers := make(chan answer, 1)
+	go func() {
+		page, err := f.store.Watch(ctx, f.table, after)
+		answers <- answer{page, err}
+	}()
+	select {
+	case result := <-answers:
+		return &result.page, result.err
+	case <-lost:
+		return nil, nil
+	}
+}
+
 // ErrStale means that a read returned an older version than the newest one
 // received.
 var ErrStale = errors.New("read returned an outdated version of the table")
@@ -198,7 +238,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	f.count.Add("store", "reads")
-	page, err := f.store.Read(callCtx, f.table)
+	begun := time.Now()
+	call := func(ctx context.Context) (Page, error) { return f.store.Read(ctx, f.table) }
+	page, err := repeater.New(call, f.repeatMillis).Run(callCtx)
 	if err != nil {
 		return err
 	}
@@ -209,6 +251,7 @@
 	}
 	page.Whole = true
 	f.applyPage(page)
+	f.markComplete(begun)
 	return nil
 }
 
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -53,6 +53,10 @@
 	return s.next(ctx, "watch", after)
 }
 
+func (s *scriptedStore) Changes(ctx context.Context, _ string, after uint64) (feeder.Page, error) {
+	return s.next(ctx, "changes", after)
+}
+
 func page(version uint64, keys ...string) feeder.Page {
 	p := feeder.Page{Version: version}
 	for _, key := range keys {
@@ -95,7 +99,7 @@
 			}
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		feed := feeder.New(store, "table", apply, counter.New(metrics.NewRegistry()), zap.NewNop())
+		feed := feeder.New(store, "table", 0, apply, counter.New(metrics.NewRegistry()), zap.NewNop())
 		go feed.Run(ctx)
 		time.Sleep(30 * time.Second)
 		cancel()
@@ -111,7 +115,7 @@
 func TestOffers(t *testing.T) {
 	store := &scriptedStore{}
 	var applied []string
-	feed := feeder.New(store, "table", func(rows []feeder.Row, _ bool, _ time.Time) {
+	feed := feeder.New(store, "table", 0, func(rows []feeder.Row, _ bool, _ time.Time) {
 		for _, row := range rows {
 			applied = append(applied, row.Key)
 		}
@@ -132,7 +136,7 @@
 // Guards against changes or deletions that are missing in a page for another
 // instance, and against a partial page when its version is too old for that.
 func TestSince(t *testing.T) {
-	feed := feeder.New(&scriptedStore{}, "table", func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
+	feed := feeder.New(&scriptedStore{}, "table", 0, func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
 	whole := page(5, "a", "b")
 	whole.Whole = true
 	assert.Assert(t, feed.ApplyFromPeer(whole))
@@ -162,7 +166,7 @@
 		store := &scriptedStore{results: []result{{page: page(5, "a")}, {page: page(6, "b")}, {err: errors.New("cut")}, {err: errors.New("cut")}, {page: page(7, "c")}, {page: aged(page(8, "d"), 50*time.Millisecond)}, {page: aged(page(9, "f"), 2*time.Second)}}}
 		late := map[string]time.Duration{}
 		ctx, cancel := context.WithCancel(t.Context())
-		feed := feeder.New(store, "table", func(rows []feeder.Row, _ bool, since time.Time) {
+		feed := feeder.New(store, "table", 0, func(rows []feeder.Row, _ bool, since time.Time) {
 			if !since.IsZero() {
 				late[rows[0].Key] = time.Since(since)
 			}
@@ -189,7 +193,7 @@
 func TestFollowedSince(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &scriptedStore{results: []result{{page: page(5, "a")}, {page: page(6)}}}
-		feed := feeder.New(store, "table", func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
+		feed := feeder.New(store, "table", 0, func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
 		assertFollowed := func(want time.Time, wantFromStart bool) {
 			t.Helper()
 			since, fromStart := feed.FollowedSince()
--- a/feeder/page.go
+++ b/feeder/page.go
@@ -37,6 +37,8 @@
 	// change, and returns no rows if there is none for some time. The error is
 	// ErrHistoryGone if the changes are not stored any more.
 	Watch(ctx context.Context, table string, after uint64) (Page, error)
+	// Changes is like Watch but does not wait for a change.
+	Changes(ctx context.Context, table string, after uint64) (Page, error)
 }
 
 // Apply applies rows: the whole table, or the changed rows. They changed just now, or at
--- a/informer/answerer.go
+++ b/informer/answerer.go
@@ -15,6 +15,7 @@
 type answerer struct {
 	feeders   []*feeder.Feeder
 	storeDown func() bool
+	known     func() ([]uint64, []int64)
 	pages     *packer
 }
 
@@ -29,6 +30,9 @@
 type Reply struct {
 	// Tables are the encoded pages by table name.
 	Tables map[string][]byte
+	// Changes and Complete are what the server knows, as Informer.Known returns it.
+	Changes  []uint64
+	Complete []int64
 	// Lost reports that the store does not answer the server.
 	Lost bool
 }
@@ -54,6 +58,7 @@
 
 func (a *answerer) fill(request Request, reply *Reply) error {
 	reply.Tables, reply.Lost = map[string][]byte{}, a.storeDown()
+	reply.Changes, reply.Complete = a.known()
 	for _, feed := range a.feeders {
 		known := request.Versions[feed.Name()]
 		if feed.Version() <= known {
@@ -93,7 +98,7 @@
 // Serve answers calls of other instances until listener is closed.
 func (i *Informer) Serve(listener net.Listener) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(service, &answerer{feeders: i.feeders, storeDown: i.storeDown, pages: newPacker()}); err != nil {
+	if err := server.RegisterName(service, &answerer{feeders: i.feeders, storeDown: i.storeDown, known: i.Known, pages: newPacker()}); err != nil {
 		return err
 	}
 	for {
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -46,6 +46,7 @@
 	dial    func(address string) (net.Conn, error)
 	// newerPeers receives the addresses of peers that have newer versions.
 	newerPeers chan string
+	storeNow   func() (time.Time, bool)
 	count      *counter.Counter
 	log        *zap.Logger
 	// awaitUntil is when the feeders poll the store if no source was found, in Unix
@@ -54,9 +55,10 @@
 	hadSource  atomic.Bool
 }
 
-// New returns an informer of the tables that feeders follow.
-func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), count *counter.Counter, log *zap.Logger) *Informer {
-	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan string, 1), count: count, log: log}
+// New returns an informer of the tables that feeders follow. storeNow returns the time by
+// the clock of the store, false while it is unknown.
+func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), storeNow func() (time.Time, bool), count *counter.Counter, log *zap.Logger) *Informer {
+	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan string, 1), storeNow: storeNow, count: count, log: log}
 }
 
 // Versions returns the versions of the last changes of the tables at this
@@ -212,6 +214,7 @@
 		for _, feed := range i.feeders {
 			feed.MarkFollowed()
 		}
+		i.Compare(reply.Changes, reply.Complete)
 	}
 	return err
 }
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -95,6 +95,12 @@
 	return page, err
 }
 
+func (s *store) Changes(_ context.Context, _ string, after uint64) (feeder.Page, error) {
+	s.recordCall()
+	page, _, err := s.since(after)
+	return page, err
+}
+
 func (s *store) Watch(ctx context.Context, _ string, after uint64) (feeder.Page, error) {
 	s.recordCall()
 	for {
@@ -124,15 +130,18 @@
 	source string
 }
 
+// wallClock is the clock of the store in tests.
+func wallClock() (time.Time, bool) { return time.Now(), true }
+
 func newInstance(t *testing.T, table *store) *instance {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	i := &instance{store: table, address: listener.Addr().String(), rows: map[string]string{}}
 	count := counter.New(metrics.NewRegistry())
-	i.feed = feeder.New(table, "table", i.apply, count, zap.NewNop())
+	i.feed = feeder.New(table, "table", 0, i.apply, count, zap.NewNop())
 	dial := func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
-	i.inform = informer.New([]*feeder.Feeder{i.feed}, dial, count, zap.NewNop())
+	i.inform = informer.New([]*feeder.Feeder{i.feed}, dial, wallClock, count, zap.NewNop())
 	go func() { _ = i.inform.Serve(listener) }()
 	go i.feed.Run(t.Context())
 	go i.inform.Run(t.Context(), i.sourceAddress)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -95,8 +95,10 @@
 
 // FollowedTable is a table of the platform's store that the instance follows.
 type FollowedTable struct {
-	Name  string
-	Apply feeder.Apply
+	Name string
+	// BoundMillis is the time within which changes must be in force.
+	BoundMillis int
+	Apply       feeder.Apply
 }
 
 // Dependencies connect an instance to the outside.
@@ -150,9 +152,9 @@
 	r.packetConn = packets
 	quarantine, detect := quarantiner.New(), detector.New()
 	for _, table := range deps.Tables {
-		r.feeders = append(r.feeders, feeder.New(deps.Source, table.Name, table.Apply, count, log))
+		r.feeders = append(r.feeders, feeder.New(deps.Source, table.Name, table.BoundMillis, table.Apply, count, log))
 	}
-	r.informer = informer.New(r.feeders, deps.Dial, count, log)
+	r.informer = informer.New(r.feeders, deps.Dial, deps.StoreNow, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
@@ -206,6 +208,7 @@
 	defer cancel()
 	for _, feed := range r.feeders {
 		go feed.Run(background)
+		go r.announceConfirmations(background, feed)
 	}
 	go r.sharer.Run(background)
 	go r.roller.Run(background)
@@ -277,6 +280,19 @@
 	r.log.Info("instance stopped", zap.Int("busy", r.acceptor.Busy()))
 }
 
+// announceConfirmations announces to the other instances when the store has confirmed a
+// table.
+func (r *Runner) announceConfirmations(ctx context.Context, feed *feeder.Feeder) {
+	for {
+		select {
+		case <-feed.Confirmed():
+			r.sharer.AnnounceTables()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // divideBudgets periodically divides the retry budgets among the live
 // instances.
 func (r *Runner) divideBudgets(ctx context.Context) {
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -30,7 +30,10 @@
 	// versions of the tables that it follows.
 	Table  int64
 	Tables []uint64
-	Flags  flags
+	// Complete are the times in milliseconds by the clock of the store up to which the
+	// sender knows all changes of the tables, 0 if unknown.
+	Complete []int64
+	Flags    flags
 	// Hub is the hub that the sender reports to, "" if it reports to none.
 	Hub string
 	// GroupSize is the number of instances of which a hub sends the loads,
@@ -152,6 +155,11 @@
 	if m.GroupSize < 0 || m.TotalSize < 0 {
 		return eris.New("message has a negative number of instances")
 	}
+	for _, at := range m.Complete {
+		if at < 0 {
+			return eris.New("message has a negative time of a table")
+		}
+	}
 	for _, l := range m.Loads {
 		if l.Requests < 0 || l.PrefillUnits < 0 || l.KVUnits < 0 || l.KVUnits > maxTokens || l.PrefillUnits > maxTokens {
 			return eris.New("message has a load out of range")
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -140,15 +140,8 @@
 	s.mu.Lock()
 	source := s.tableSource
 	s.mu.Unlock()
-	if msg.Name == source || msg.Hub != "" {
-		return false
-	}
-	for i, version := range s.tables.Versions() {
-		if i < len(msg.Tables) && msg.Tables[i] > version {
-			return true
-		}
-	}
-	return false
+	missing := s.tables.Compare(msg.Tables, msg.Complete)
+	return missing && msg.Name != source && msg.Hub == ""
 }
 
 // forward queues the events of a message for the instances to which a hub
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -220,10 +220,11 @@
 // message returns the next message with loads and events.
 func (s *Sharer) message(loads []load, queued events) *message {
 	msg := &message{
-		Name: s.self.Name, SenderDataCentre: s.self.DataCentre, SenderAddress: s.self.Address, Rate: s.self.Rate, Incarnation: s.self.incarnation, Seq: s.seq, Tables: s.tables.Versions(),
+		Name: s.self.Name, SenderDataCentre: s.self.DataCentre, SenderAddress: s.self.Address, Rate: s.self.Rate, Incarnation: s.self.incarnation, Seq: s.seq,
 		Flags: s.self.flags, Hub: s.self.hub,
 		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects,
 	}
+	msg.Tables, msg.Complete = s.tables.Known()
 	if table := s.registrar.Table(); table != nil {
 		msg.Table = table.Version
 	}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -95,8 +95,12 @@
 
 // Tables are the tables that instances follow.
 type Tables interface {
-	// Versions returns the versions of the tables at this instance.
-	Versions() []uint64
+	// Known returns the versions of the last changes of the tables at this instance, and
+	// the times up to which it knows all changes, 0 if unknown.
+	Known() (changes []uint64, complete []int64)
+	// Compare applies what another instance knows of the tables. It reports whether
+	// changes are missing here.
+	Compare(changes []uint64, complete []int64) bool
 	// CatchUpFrom requests the tables from the instance at address, which has a
 	// newer version.
 	CatchUpFrom(address string)
@@ -237,6 +241,10 @@
 	s.sendNow(events{emptyStores: []uint64{store.Key}})
 }
 
+// AnnounceTables sends at once up to when this instance knows the tables, so that the
+// others need not ask the store.
+func (s *Sharer) AnnounceTables() { s.sendDue(everything) }
+
 func (s *Sharer) sendNow(own events) {
 	s.mu.Lock()
 	s.add(own)
