--- a/feeder/confirm_test.go
+++ b/feeder/confirm_test.go
@@ -185,7 +185,7 @@
 		d.Compare(5, time.Now())
 		before := d.store.set(func(*deafStore) {})
 		for range 20 {
-			time.Sleep(700 * time.Millisecond)
+			time.Sleep(time.Second)
 			d.Compare(5, time.Now())
 		}
 		assert.Equal(t, d.store.set(func(*deafStore) {}), before)
--- a/repeater/repeater_test.go
+++ b/repeater/repeater_test.go
@@ -48,7 +48,7 @@
 		assert.Equal(t, time.Since(begun), time.Duration(0))
 
 		var calls atomic.Int32
-		answer, err := repeater.New(func(ctx context.Context) (int, error) {
+		answer, err := repeater.New(func(context.Context) (int, error) {
 			if calls.Add(1) > 1 {
 				return 0, refused
 			}
