Request a table from a peer although another table has changed

While the table of endpoints moved on, a configuration that did not arrive was not requested from the peer that had it.

--- a/informer/informer.go
+++ b/informer/informer.go
@@ -44,8 +44,8 @@
 type Informer struct {
 	feeders []*feeder.Feeder
 	dial    func(address string) (net.Conn, error)
-	// newerPeers receives the addresses of peers that have newer versions.
-	newerPeers chan string
+	// newerPeers receives peers that have newer versions.
+	newerPeers chan newerPeer
 	storeNow   func() (time.Time, bool)
 	count      *counter.Counter
 	log        *zap.Logger
@@ -58,7 +58,7 @@
 // New returns an informer of the tables that feeders follow. storeNow returns the time by
 // the clock of the store, false while it is unknown.
 func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), storeNow func() (time.Time, bool), count *counter.Counter, log *zap.Logger) *Informer {
-	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan string, 1), storeNow: storeNow, count: count, log: log}
+	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan newerPeer, 1), storeNow: storeNow, count: count, log: log}
 }
 
 // Versions returns the versions of the last changes of the tables at this
@@ -71,12 +71,19 @@
 	return versions
 }
 
-// CatchUpFrom requests the tables from the peer at address, which has a newer
-// version, unless they change by themselves first. The call is ignored
+// newerPeer is a peer that has newer versions of tables, and the versions of its last
+// changes in the order of the feeders.
+type newerPeer struct {
+	address string
+	changes []uint64
+}
+
+// CatchUpFrom requests the tables from the peer at address, whose last changes have the
+// given versions, unless these arrive by themselves first. The call is ignored
 // while another peer is queued.
-func (i *Informer) CatchUpFrom(address string) {
+func (i *Informer) CatchUpFrom(address string, changes []uint64) {
 	select {
-	case i.newerPeers <- address:
+	case i.newerPeers <- newerPeer{address, changes}:
 	default: // another peer is queued
 	}
 }
@@ -97,34 +104,24 @@
 	i.catchUp(ctx)
 }
 
-// catchUp requests tables from peers that have newer versions, unless the
-// tables change by themselves within catchUpDelay.
+// catchUp requests tables from peers that have newer versions, unless the changes of
+// all tables arrive by themselves within catchUpDelay.
 func (i *Informer) catchUp(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-i.newerPeers:
-			before := i.Versions()
+		case peer := <-i.newerPeers:
 			if !pacer.Wait(ctx, catchUpDelay) {
 				return
 			}
-			if !anyNewer(before, i.Versions()) {
-				i.fetchFromPeer(address)
+			if i.Compare(peer.changes, nil) {
+				i.fetchFromPeer(peer.address)
 			}
 		}
 	}
 }
 
-func anyNewer(before, after []uint64) bool {
-	for index, version := range after {
-		if version > before[index] {
-			return true
-		}
-	}
-	return false
-}
-
 // storeDown reports whether the store does not answer for one of the tables.
 func (i *Informer) storeDown() bool {
 	for _, feed := range i.feeders {
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -253,11 +253,34 @@
 	failed.fail()
 	first, second := newInstance(t, reachable), newInstance(t, failed)
 	eventually(t, "the first instance has read the store", first.hasRows(map[string]string{"a": "1"}))
-	second.inform.CatchUpFrom(first.address)
+	second.inform.CatchUpFrom(first.address, first.inform.Versions())
 	eventually(t, "the second instance has received the table", second.hasRows(map[string]string{"a": "1"}))
 	assert.DeepEqual(t, first.inform.Versions(), second.inform.Versions())
 }
 
+// Guards against a table that is not requested from the peer that has it because another
+// table has changed meanwhile.
+func TestOtherTableMovesOn(t *testing.T) {
+	reachable, failed := newStore(), newStore()
+	reachable.put(row("a", "1"))
+	failed.fail()
+	first, second := newInstance(t, reachable), newInstance(t, failed)
+	eventually(t, "the first instance has read the store", first.hasRows(map[string]string{"a": "1"}))
+	count := counter.New(metrics.NewRegistry())
+	other := feeder.New(failed, "other", 0, func([]feeder.Row, bool, time.Time) {}, count, zap.NewNop())
+	dial := func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+	both := informer.New([]*feeder.Feeder{second.feed, other}, dial, wallClock, count, zap.NewNop())
+	go both.Run(t.Context(), func() string { return "" })
+	both.CatchUpFrom(first.address, []uint64{first.inform.Versions()[0], 0})
+	go func() {
+		for version := uint64(1); t.Context().Err() == nil; version++ {
+			other.ApplyFromPeer(feeder.Page{Version: version, Rows: []feeder.Row{{Key: "b", Version: version}}})
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	eventually(t, "the second instance has received the table", second.hasRows(map[string]string{"a": "1"}))
+}
+
 // Guards against calls to the store while an instance of a large fleet waits for its
 // first source, and against waiting longer than allowed.
 func TestWaitForTheFirstSource(t *testing.T) {
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -60,7 +60,7 @@
 		msg.Suspects = nil
 	}
 	if s.hasNewerTable(msg) {
-		s.tables.CatchUpFrom(msg.SenderAddress)
+		s.tables.CatchUpFrom(msg.SenderAddress, msg.Tables)
 	}
 	s.forward(msg)
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -101,9 +101,9 @@
 	// Compare applies what another instance knows of the tables. It reports whether
 	// changes are missing here.
 	Compare(changes []uint64, complete []int64) bool
-	// CatchUpFrom requests the tables from the instance at address, which has a
-	// newer version.
-	CatchUpFrom(address string)
+	// CatchUpFrom requests the tables from the instance at address, whose last changes
+	// have newer versions.
+	CatchUpFrom(address string, changes []uint64)
 }
 
 // Sharer sends the state of this instance to its peers and applies the state
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -51,7 +51,7 @@
 	return len(changes) > 0 && changes[0] > t.version
 }
 
-func (t *tables) CatchUpFrom(string) { t.catchUps.Add(1) }
+func (t *tables) CatchUpFrom(string, []uint64) { t.catchUps.Add(1) }
 
 func newInstance(t *testing.T, name string, version int64) *instance {
 	t.Helper()
