Keep the age of changes that instances pass on

Cause: an instance that learned a change from its source dated it at its arrival, and a page that was encoded for one instance was sent to others later. An endpoint whose leaving was known late at the source was used for half of the drain time from then on. Both tests failed before (late by 0 s for 3 s and for 1 s), the one of the cache with the age inside the encoded page.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -125,10 +125,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	page := Page{Version: f.newest, Content: f.lastChange, Whole: version < f.horizon || version == 0}
+	now := time.Now()
 	for _, row := range f.rows {
 		if page.Whole && !row.Deleted || !page.Whole && row.Version > version {
 			page.Rows = append(page.Rows, row)
 		}
+		if !page.Whole && row.Version > version {
+			page.Age = max(page.Age, now.Sub(row.changedAt))
+		}
 	}
 	return page
 }
@@ -142,6 +146,9 @@
 	if page.Version <= f.newest {
 		return false
 	}
+	if completeAt := f.confirm.CompleteAt(); page.Whole && !completeAt.IsZero() {
+		page.Age = time.Since(completeAt)
+	}
 	f.applyPage(page)
 	return true
 }
@@ -265,10 +272,15 @@
 	if page.Whole && page.Content == 0 {
 		lastChange = page.Version // an upper bound of the version of the last change, which is unknown
 	}
+	since := f.changedAfter(page.Age)
 	for _, row := range page.Rows {
 		if row.Version == 0 {
 			row.Version = page.Version
 		}
+		row.changedAt = since
+		if since.IsZero() {
+			row.changedAt = time.Now()
+		}
 		lastChange = max(lastChange, row.Version)
 		f.put(row)
 	}
@@ -277,7 +289,7 @@
 	}
 	f.watchFrom, f.newest = page.Version, page.Version
 	if page.Whole || len(page.Rows) > 0 {
-		f.apply(page.Rows, page.Whole, f.changedAfter(page.Age))
+		f.apply(page.Rows, page.Whole, since)
 	}
 	f.markFollowed()
 	if lastChange > f.lastChange {
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -189,6 +189,23 @@
 	})
 }
 
+// Guards against a change that loses its age on the way through other instances.
+func TestAgeOfChangesFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := time.Duration(0)
+		apply := func(_ []feeder.Row, _ bool, since time.Time) { late = time.Since(since) }
+		hub := feeder.New(&scriptedStore{}, "table", 0, func([]feeder.Row, bool, time.Time) {}, counter.New(metrics.NewRegistry()), zap.NewNop())
+		learner := feeder.New(&scriptedStore{}, "table", 0, apply, counter.New(metrics.NewRegistry()), zap.NewNop())
+		whole := page(5, "a")
+		whole.Whole = true
+		hub.ApplyFromPeer(whole)
+		hub.ApplyFromPeer(aged(feeder.Page{Version: 7, Rows: []feeder.Row{{Key: "b", Version: 7}}}, 2*time.Second))
+		time.Sleep(time.Second)
+		assert.Assert(t, learner.ApplyFromPeer(hub.ChangesSince(5)))
+		assert.Equal(t, late, 3*time.Second)
+	})
+}
+
 // Guards against a time of contact that includes an interruption.
 func TestFollowedSince(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/feeder/page.go
+++ b/feeder/page.go
@@ -13,6 +13,9 @@
 	// Version is the version at which the row was written or deleted, 0 if it
 	// is unknown.
 	Version uint64
+	// changedAt is the time from which on the row may have changed, by the clock of
+	// this instance.
+	changedAt time.Time
 }
 
 // Page contains rows as of a version.
@@ -25,7 +28,8 @@
 	// Content is the version of the last change as known by the sender, 0 if it
 	// follows from the rows.
 	Content uint64
-	// Age is how long ago the sender made the page, as far as known.
+	// Age is how long ago the store made the page, or for a page from another instance
+	// how long ago its rows changed at most, as far as known.
 	Age time.Duration
 }
 
--- a/informer/answerer.go
+++ b/informer/answerer.go
@@ -30,6 +30,8 @@
 type Reply struct {
 	// Tables are the encoded pages by table name.
 	Tables map[string][]byte
+	// AgeMillis are the ages of the pages by table name.
+	AgeMillis map[string]int64
 	// Changes and Complete are what the server knows, as Informer.Known returns it.
 	Changes  []uint64
 	Complete []int64
@@ -57,18 +59,19 @@
 }
 
 func (a *answerer) fill(request Request, reply *Reply) error {
-	reply.Tables, reply.Lost = map[string][]byte{}, a.storeDown()
+	reply.Tables, reply.AgeMillis, reply.Lost = map[string][]byte{}, map[string]int64{}, a.storeDown()
 	reply.Changes, reply.Complete = a.known()
 	for _, feed := range a.feeders {
 		known := request.Versions[feed.Name()]
 		if feed.Version() <= known {
 			continue
 		}
-		packed, err := a.pages.page(feed.Name(), known, feed.ChangesSince(known))
+		page := feed.ChangesSince(known)
+		packed, err := a.pages.page(feed.Name(), known, page)
 		if err != nil {
 			return err
 		}
-		reply.Tables[feed.Name()] = packed
+		reply.Tables[feed.Name()], reply.AgeMillis[feed.Name()] = packed, page.Age.Milliseconds()
 	}
 	return nil
 }
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -285,6 +285,7 @@
 		if err != nil {
 			return err
 		}
+		page.Age = time.Duration(reply.AgeMillis[feed.Name()]) * time.Millisecond
 		if feed.ApplyFromPeer(page) {
 			i.count.Add("tables", "taken")
 			applied(feed)
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -128,6 +128,8 @@
 	mu     sync.Mutex
 	rows   map[string]string
 	source string
+	// late holds how long ago rows may have changed when they were applied.
+	late map[string]time.Duration
 }
 
 // wallClock is the clock of the store in tests.
@@ -137,7 +139,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	i := &instance{store: table, address: listener.Addr().String(), rows: map[string]string{}}
+	i := &instance{store: table, address: listener.Addr().String(), rows: map[string]string{}, late: map[string]time.Duration{}}
 	count := counter.New(metrics.NewRegistry())
 	i.feed = feeder.New(table, "table", 0, i.apply, count, zap.NewNop())
 	dial := func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
@@ -149,7 +151,7 @@
 	return i
 }
 
-func (i *instance) apply(rows []feeder.Row, whole bool, _ time.Time) {
+func (i *instance) apply(rows []feeder.Row, whole bool, since time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if whole {
@@ -157,6 +159,9 @@
 	}
 	for _, row := range rows {
 		i.rows[row.Key] = string(row.Value)
+		if !since.IsZero() {
+			i.late[row.Key] = time.Since(since)
+		}
 		if row.Deleted {
 			delete(i.rows, row.Key)
 		}
@@ -232,6 +237,37 @@
 	eventually(t, "the store is followed again", follower.hasRows(map[string]string{"b": "2", "c": "3", "d": "4"}))
 }
 
+// Guards against a change that a follower takes for a recent one although its source has
+// known it for long, also if the source has sent it to another one before.
+func TestAgeOfChangesFromTheSource(t *testing.T) {
+	shared, failed := newStore(), newStore()
+	shared.put(row("a", "1"))
+	source := newInstance(t, shared)
+	followers := []*instance{newInstance(t, failed), newInstance(t, failed)}
+	failed.fail()
+	catchUp := func(i *instance) { i.inform.CatchUpFrom(source.address, source.inform.Versions()) }
+	eventually(t, "all have the table", func() bool {
+		all := source.hasRows(map[string]string{"a": "1"})()
+		for _, i := range followers {
+			catchUp(i)
+			all = all && i.hasRows(map[string]string{"a": "1"})()
+		}
+		return all
+	})
+	shared.put(row("b", "2"))
+	eventually(t, "the source has the change", source.hasRows(map[string]string{"a": "1", "b": "2"}))
+	for number, i := range followers {
+		eventually(t, "the follower has the change", func() bool {
+			catchUp(i)
+			return i.hasRows(map[string]string{"a": "1", "b": "2"})()
+		})
+		i.mu.Lock()
+		assert.Assert(t, i.late["b"] >= time.Duration(number)*time.Second, "follower %d: late by %s", number, i.late["b"])
+		i.mu.Unlock()
+		time.Sleep(time.Second)
+	}
+}
+
 // Guards against a follower that misses changes after it has no source any more.
 func TestSourceIsGone(t *testing.T) {
 	shared := newStore()
