Heed endpoints that say in their answers that they leave

Only the entries were followed until now.

What an endpoint says of itself is decided on in a package of its own, restrainer, and kept for its incarnation, also if its entry expires and returns. Answers to reports and orders count as well. The other instances are told at once and in heartbeats.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"wisteriadrum/restrainer"
 	"wisteriadrum/router"
 )
 
@@ -27,6 +28,11 @@
 	// cacheShare is the share of an engine's KV memory that is assumed to hold
 	// cached parts.
 	cacheShare = 0.8
+	// departedRetention is how long an endpoint is kept after it has left, so that its
+	// last answers are still counted, and saidRetention how long one that has said that
+	// it leaves, since its entry may be listed again.
+	departedRetention = 10 * time.Second
+	saidRetention     = 10 * time.Minute
 )
 
 // Entry is the entry of one endpoint in the list of endpoints.
@@ -59,6 +65,7 @@
 	loadingUntil    time.Time
 	backoffUntil    time.Time
 	leavingUntil    time.Time
+	said            restrainer.Restrainer
 	failures        int
 	measuredMillis  float64
 	predictedMillis float64
@@ -174,7 +181,39 @@
 func (m *Monitor) Left(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.leavingUntil.IsZero() && !now.Before(m.leavingUntil)
+	return m.left(now)
+}
+
+func (m *Monitor) left(now time.Time) bool {
+	return !m.leavingUntil.IsZero() && !now.Before(m.leavingUntil) || m.said.Left(now)
+}
+
+// Forgettable reports whether the endpoint is not listed any more since a time before
+// now, and what it has said of itself does not matter if it is listed again.
+func (m *Monitor) Forgettable(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leftAt := m.leavingUntil
+	if m.said.Leaving() {
+		return !leftAt.IsZero() && leftAt.Before(now.Add(-saidRetention))
+	}
+	return !leftAt.IsZero() && !now.Add(-departedRetention).Before(leftAt)
+}
+
+// Said returns what the endpoint has said of itself.
+func (m *Monitor) Said() restrainer.Restrainer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.said
+}
+
+// Hear changes what the endpoint has said of itself, and reports whether that is new.
+func (m *Monitor) Hear(change func(restrainer.Restrainer) restrainer.Restrainer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.said
+	m.said = change(before)
+	return m.said != before
 }
 
 // SetWeights records the version of a model that the endpoint serves, and reports
@@ -284,7 +323,7 @@
 	return View{
 		Entry: m.entry, Engine: m.engine, Load: load, Weights: m.weights[model],
 		InBackoff: m.backoffUntil.After(now), Loading: m.loadingUntil.After(now),
-		Leaving: !m.leavingUntil.IsZero(), Left: !m.leavingUntil.IsZero() && !now.Before(m.leavingUntil),
+		Leaving: !m.leavingUntil.IsZero() || m.said.Leaving(), Left: m.left(now),
 		SilentFor:    m.silentFor(now),
 		LatencyRatio: (m.measuredMillis + latencyPriorMillis) / (m.predictedMillis + latencyPriorMillis),
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,10 +16,6 @@
 	"wisteriadrum/versioner"
 )
 
-// departedRetention is how long an endpoint is kept after it has left, so that
-// its last answers are still counted.
-const departedRetention = 10 * time.Second
-
 // Fleet is an immutable snapshot of the endpoints and stores.
 type Fleet struct {
 	byName map[string]*monitor.Monitor
@@ -150,7 +146,7 @@
 			byName = map[string]*monitor.Monitor{}
 		}
 		for name, endpoint := range byName {
-			if endpoint.Left(now.Add(-departedRetention)) {
+			if endpoint.Forgettable(now) {
 				delete(byName, name)
 			}
 		}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -8,6 +8,7 @@
 
 	"wisteriadrum/monitor"
 	"wisteriadrum/registrar"
+	"wisteriadrum/restrainer"
 	"wisteriadrum/router"
 	"wisteriadrum/versioner"
 )
@@ -64,6 +65,30 @@
 	assert.Equal(t, len(state.Fleet().All()), 0)
 }
 
+// Guards against an endpoint that has said that it leaves and is used again, since its
+// entry says the opposite, or expires and returns.
+func TestEndpointThatSaidItLeaves(t *testing.T) {
+	state := registrar.New(time.Now)
+	list := func(at time.Time) { state.PutEndpoints([]monitor.Entry{entry("a", 1)}, nil, at, at) }
+	list(start)
+	state.Fleet().All()["a"].Hear(func(said restrainer.Restrainer) restrainer.Restrainer {
+		return said.WithLeaving(start.Add(time.Second))
+	})
+	for _, at := range []time.Time{start.Add(time.Second), start.Add(30 * time.Second)} {
+		list(at)
+		assert.Assert(t, state.Fleet().All()["a"].View("", at).Left)
+	}
+	state.PutEndpoints(nil, []string{"a"}, start, start.Add(40*time.Second))
+	list(start.Add(time.Minute))
+	assert.Assert(t, state.Fleet().All()["a"].Left(start.Add(time.Minute)))
+	state.PutEndpoints([]monitor.Entry{entry("a", 2)}, nil, start.Add(time.Minute), start.Add(time.Minute))
+	assert.Assert(t, !state.Fleet().All()["a"].Left(start.Add(time.Minute)), "a new incarnation has said nothing")
+	state.Fleet().All()["a"].Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithLeaving(start) })
+	state.PutEndpoints(nil, []string{"a"}, start, start)
+	state.PutEndpoints(nil, nil, start.Add(time.Hour), start)
+	assert.Equal(t, len(state.Fleet().All()), 0)
+}
+
 // The drain deadline of a leaving endpoint is set by the first report; later
 // reports must not extend it.
 func TestLeavingCountsOnce(t *testing.T) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -188,6 +188,7 @@
 		}
 		r.recordProgress(a)
 		response := r.deps.Translator.DecodeAnswer(head)
+		r.Observe(a.endpoint, response)
 		if response.RequestID == a.request.ID || response.RequestID == "" && (response.NotRun || response.WrongTarget) {
 			return head, response, nil
 		}
--- /dev/null
+++ b/relayer/observe.go
@@ -0,0 +1,28 @@
+package relayer
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/monitor"
+	"wisteriadrum/restrainer"
+	"wisteriadrum/translator"
+)
+
+// Observe applies what an endpoint says of itself in an answer, and announces it to the
+// other instances if it is new.
+func (r *Relayer) Observe(endpoint *monitor.Monitor, answer translator.Answer) {
+	name := endpoint.Entry().Name
+	if answer.Endpoint != "" && answer.Endpoint != name {
+		return // another endpoint answers at this address
+	}
+	now := r.deps.Now()
+	if answer.Leaving && !endpoint.Said().Leaving() {
+		leaveBy := now.Add(time.Duration(r.deps.LastUseMillis) * time.Millisecond)
+		endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithLeaving(leaveBy) })
+		r.deps.Count.Add("endpoints", "leaving")
+		r.deps.Log.Info("endpoint says that it leaves", zap.String("endpoint", name))
+		r.deps.AnnounceSaid(endpoint)
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -91,9 +91,15 @@
 	// AnnounceSuspects announces to the other instances what is known of parts that
 	// may crash endpoints.
 	AnnounceSuspects func([]detector.Suspect)
-	Count            *counter.Counter
-	Log              *zap.Logger
-	Now              func() time.Time
+	// AnnounceSaid announces to the other instances what an endpoint has said of
+	// itself.
+	AnnounceSaid func(endpoint *monitor.Monitor)
+	// LastUseMillis is how long an endpoint may still get requests after it has said
+	// that it leaves.
+	LastUseMillis int
+	Count         *counter.Counter
+	Log           *zap.Logger
+	Now           func() time.Time
 }
 
 // New returns a relayer.
--- /dev/null
+++ b/restrainer/restrainer_test.go
@@ -0,0 +1,24 @@
+package restrainer_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriadrum/restrainer"
+)
+
+var start = time.Unix(1000, 0)
+
+// at returns the time so many milliseconds after start.
+func at(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+// Guards against an endpoint that gets more time by saying again that it leaves.
+func TestLeaving(t *testing.T) {
+	said := restrainer.Restrainer{}
+	assert.Assert(t, !said.Leaving() && !said.Left(at(1<<30)))
+	said = said.WithLeaving(at(1000)).WithLeaving(at(2000))
+	assert.Assert(t, said.Leaving())
+	assert.Assert(t, !said.Left(at(999)) && said.Left(at(1000)))
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -89,6 +89,8 @@
 	// WeightsPeriodMillis is how long older weights may be used after newer ones were
 	// announced.
 	WeightsPeriodMillis int
+	// LastUseMillis is how long an endpoint that leaves may still get requests.
+	LastUseMillis int
 	// GraceMillis is the grace period between the stop signal and the kill.
 	GraceMillis int
 }
@@ -104,9 +106,10 @@
 // Dependencies connect an instance to the outside.
 type Dependencies struct {
 	Translator translator.Translator
-	Engines    roller.EngineClient
-	Source     feeder.Store
-	Rows       tabler.Table
+	// Engines returns a client that calls observe with each answer.
+	Engines func(observe func(monitor.Entry, translator.Answer)) roller.EngineClient
+	Source  feeder.Store
+	Rows    tabler.Table
 	// PutRow writes the row of this instance, PeerRows reads the rows of all
 	// instances.
 	PutRow   func(ctx context.Context, key string, value []byte) error
@@ -156,20 +159,20 @@
 	}
 	r.informer = informer.New(r.feeders, deps.Dial, deps.StoreNow, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
-	r.sharer = sharer.New(self, time.Now().UnixNano(), packets, state, quarantine, detect, r.informer, count, log, time.Now)
+	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
 		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
-		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, Count: count, Log: log, Now: time.Now,
+		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
 	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow, deps.StoreNow)
 	orderPause := time.Duration(options.OrderPauseMillis) * time.Millisecond
-	r.roller = roller.New(options.Name, state, deps.Engines, lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
+	r.roller = roller.New(options.Name, state, deps.Engines(r.observe), lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
 	return r, nil
 }
 
@@ -280,6 +283,15 @@
 	r.log.Info("instance stopped", zap.Int("busy", r.acceptor.Busy()))
 }
 
+// observe applies what an endpoint says of itself in an answer to a call that is no
+// request.
+func (r *Runner) observe(entry monitor.Entry, answer translator.Answer) {
+	endpoint := r.registrar.Fleet().All()[entry.Name]
+	if endpoint != nil && endpoint.Entry().Incarnation == entry.Incarnation {
+		r.relayer.Observe(endpoint, answer)
+	}
+}
+
 // announceConfirmations announces to the other instances when the store has confirmed a
 // table.
 func (r *Runner) announceConfirmations(ctx context.Context, feed *feeder.Feeder) {
--- a/sharer/events.go
+++ b/sharer/events.go
@@ -12,6 +12,7 @@
 	emptyStores []uint64
 	cases       []quarantiner.Case
 	suspects    []detector.Suspect
+	said        []said
 }
 
 // add queues more events. Parts beyond two messages are dropped, since most of
@@ -23,6 +24,7 @@
 	e.weights = append(e.weights, more.weights...)
 	e.emptyStores = append(e.emptyStores, more.emptyStores...)
 	e.cases = append(e.cases, more.cases...)
+	e.said = append(e.said, more.said...)
 	room = max(0, maxQueuedSuspects-len(e.suspects))
 	e.suspects = append(e.suspects, more.suspects[:min(room, len(more.suspects))]...)
 }
@@ -43,5 +45,5 @@
 
 // urgent reports whether there are events that must be sent at once.
 func (e events) urgent() bool {
-	return len(e.weights)+len(e.emptyStores)+len(e.cases)+len(e.suspects) > 0
+	return len(e.weights)+len(e.emptyStores)+len(e.cases)+len(e.suspects)+len(e.said) > 0
 }
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -133,7 +133,7 @@
 		log := &hubLog{}
 		detect := detector.New()
 		f.detectors = append(f.detectors, detect)
-		share := sharer.New(peer, 1, conn, state, quarantiner.New(), detect, &tables{}, counter.New(metrics.NewRegistry()), zap.New(log), time.Now)
+		share := sharer.New(peer, 1, 500, conn, state, quarantiner.New(), detect, &tables{}, counter.New(metrics.NewRegistry()), zap.New(log), time.Now)
 		f.conns, f.logs[peer.Name] = append(f.conns, conn), log
 		f.states, f.sharers, f.all = append(f.states, state), append(f.sharers, share), append(f.all, peer)
 	}
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -53,6 +53,8 @@
 	Versions []version
 	// Suspects are parts of prompts that may crash endpoints.
 	Suspects []detector.Suspect
+	// Said is what endpoints have said of themselves.
+	Said []said
 }
 
 // flags are properties of the sender and of the message.
@@ -116,6 +118,19 @@
 	RemainingMillis int
 }
 
+// said announces what an endpoint has said of itself.
+type said struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Key      uint64
+	// Leaving means that it leaves.
+	Leaving bool
+}
+
+// newSaid returns what an endpoint has said of itself.
+func newSaid(endpoint *monitor.Monitor) said {
+	return said{Key: endpoint.Key, Leaving: endpoint.Said().Leaving()}
+}
+
 // maxTokens bounds a count of tokens in a message.
 const maxTokens = 1 << 40
 
@@ -185,7 +200,7 @@
 
 // isDue reports whether the message is sent within the scope.
 func (m *message) isDue(scope scope) bool {
-	hasUrgent := len(m.Weights)+len(m.Cases)+len(m.EmptyStores)+len(m.Suspects) > 0
+	hasUrgent := len(m.Weights)+len(m.Cases)+len(m.EmptyStores)+len(m.Suspects)+len(m.Said) > 0
 	switch scope {
 	case urgentOnly:
 		return hasUrgent
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -7,6 +7,7 @@
 
 	"wisteriadrum/monitor"
 	"wisteriadrum/registrar"
+	"wisteriadrum/restrainer"
 	"wisteriadrum/versioner"
 )
 
@@ -47,6 +48,7 @@
 		}
 	}
 	msg.Weights = applyWeights(msg.Weights, fleet, now)
+	msg.Said = s.applySaid(msg.Said, fleet, now)
 	s.applyVersions(msg.Name, msg.Versions)
 	for _, key := range msg.EmptyStores {
 		if endpoint := fleet.ByKey(key); endpoint != nil {
@@ -88,6 +90,22 @@
 	return changes
 }
 
+// applySaid applies what endpoints have said of themselves and returns what was new.
+func (s *Sharer) applySaid(list []said, fleet *registrar.Fleet, now time.Time) []said {
+	var changes []said
+	for _, item := range list {
+		endpoint := fleet.ByKey(item.Key)
+		if endpoint == nil || !item.Leaving {
+			continue
+		}
+		leaveBy := now.Add(time.Duration(s.lastUseMillis) * time.Millisecond)
+		if !endpoint.Said().Leaving() && endpoint.Hear(func(known restrainer.Restrainer) restrainer.Restrainer { return known.WithLeaving(leaveBy) }) {
+			changes = append(changes, item)
+		}
+	}
+	return changes
+}
+
 // applyVersions adds the announced versions of weights that a peer sent.
 func (s *Sharer) applyVersions(peer string, list []version) {
 	for _, v := range list {
@@ -147,7 +165,7 @@
 // forward queues the events of a message for the instances to which a hub
 // forwards them, and sends urgent ones at once.
 func (s *Sharer) forward(msg *message) {
-	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases, suspects: msg.Suspects}
+	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases, suspects: msg.Suspects, said: msg.Said}
 	s.mu.Lock()
 	if !received.any() || s.self.hub != "" && msg.Hub != s.self.Name {
 		s.mu.Unlock()
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -142,7 +142,7 @@
 	heartbeat := scope == everything
 	var versions []version
 	if heartbeat {
-		repeated := events{weights: s.recentVersions(), cases: s.recentCases(), suspects: s.recentSuspects()}
+		repeated := events{weights: s.recentVersions(), cases: s.recentCases(), suspects: s.recentSuspects(), said: s.knownSaid()}
 		toHubs.add(repeated)
 		toGroup.add(repeated)
 		versions = s.currentVersions()
@@ -222,7 +222,7 @@
 	msg := &message{
 		Name: s.self.Name, SenderDataCentre: s.self.DataCentre, SenderAddress: s.self.Address, Rate: s.self.Rate, Incarnation: s.self.incarnation, Seq: s.seq,
 		Flags: s.self.flags, Hub: s.self.hub,
-		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects,
+		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects, Said: queued.said,
 	}
 	msg.Tables, msg.Complete = s.tables.Known()
 	if table := s.registrar.Table(); table != nil {
@@ -269,6 +269,20 @@
 	return suspects[:min(len(suspects), maxSuspectsPerHeartbeat)]
 }
 
+// knownSaid returns what some of the endpoints have said of themselves, for instances that
+// have started since or did not receive the announcement. All are sent in the course of
+// time.
+func (s *Sharer) knownSaid() []said {
+	var list []said
+	for _, endpoint := range s.registrar.Fleet().All() {
+		if known := newSaid(endpoint); known.Leaving {
+			list = append(list, known)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxSaidPerHeartbeat)]
+}
+
 // recentVersions returns the versions of weights that were recorded within
 // repeatVersionsFor. They are sent again since a message that announced them
 // may have been lost.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -64,6 +64,9 @@
 	// maxCasesPerHeartbeat is the number of known crashing requests that a
 	// heartbeat repeats.
 	maxCasesPerHeartbeat = 8
+	// maxSaidPerHeartbeat is the number of endpoints of which a heartbeat repeats what
+	// they have said.
+	maxSaidPerHeartbeat = 16
 	// maxSuspectsPerHeartbeat and maxSuspectsPerMessage bound the parts that may crash
 	// endpoints in a message, as maxPartsPerMessage does, and maxQueuedSuspects those
 	// that wait for one.
@@ -109,7 +112,10 @@
 // Sharer sends the state of this instance to its peers and applies the state
 // that they send.
 type Sharer struct {
-	self       Peer
+	self Peer
+	// lastUseMillis is how long an endpoint that leaves may still get requests.
+	lastUseMillis int
+
 	conn       net.PacketConn
 	registrar  *registrar.Registrar
 	quarantine *quarantiner.Registry
@@ -141,12 +147,13 @@
 	sentLoads       sentLoads
 }
 
-// New returns a sharer for the instance self that sends and receives on conn.
-func New(self Peer, incarnation int64, conn net.PacketConn, state *registrar.Registrar, quarantine *quarantiner.Registry, detect *detector.Detector, tables Tables, count *counter.Counter, log *zap.Logger, now func() time.Time) *Sharer {
+// New returns a sharer for the instance self that sends and receives on conn. Endpoints
+// that leave get requests for lastUseMillis more.
+func New(self Peer, incarnation int64, lastUseMillis int, conn net.PacketConn, state *registrar.Registrar, quarantine *quarantiner.Registry, detect *detector.Detector, tables Tables, count *counter.Counter, log *zap.Logger, now func() time.Time) *Sharer {
 	self.incarnation = incarnation
 	return &Sharer{
 		electFrom: now().Add(maxDiscoveryWait),
-		self:      self, conn: conn, registrar: state, quarantine: quarantine, detector: detect, tables: tables, count: count, log: log, now: now,
+		self:      self, lastUseMillis: lastUseMillis, conn: conn, registrar: state, quarantine: quarantine, detector: detect, tables: tables, count: count, log: log, now: now,
 		hubElector: elector.New(), peers: map[string]*Peer{}, sentLoads: sentLoads{},
 	}
 }
@@ -236,6 +243,11 @@
 	s.sendNow(events{suspects: suspects})
 }
 
+// AnnounceSaid sends at once what an endpoint has said of itself.
+func (s *Sharer) AnnounceSaid(endpoint *monitor.Monitor) {
+	s.sendNow(events{said: []said{newSaid(endpoint)}})
+}
+
 // AnnounceEmptied sends at once that a store has lost all parts.
 func (s *Sharer) AnnounceEmptied(store *monitor.Monitor) {
 	s.sendNow(events{emptyStores: []uint64{store.Key}})
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -68,7 +68,7 @@
 	n.registrar.PutEndpoints([]monitor.Entry{{Name: "e", Address: "10.0.0.1:80", Pool: "p", Weights: map[string]int{"m": 1}}}, nil, time.Now(), time.Now())
 	n.registrar.AddVersion("m", versioner.Version{Number: 1, OlderUntil: time.Now()})
 	self := sharer.Peer{Name: name, DataCentre: dataCentre, Address: n.address}
-	n.sharer = sharer.New(self, 1, conn, n.registrar, n.quarantine, n.detector, &n.tables, n.count, zap.NewNop(), time.Now)
+	n.sharer = sharer.New(self, 1, 500, conn, n.registrar, n.quarantine, n.detector, &n.tables, n.count, zap.NewNop(), time.Now)
 	go func() { _ = n.sharer.Listen() }()
 	ctx, cancel := context.WithCancel(t.Context())
 	go n.sharer.Run(ctx)
@@ -197,7 +197,7 @@
 func TestOrderOfCandidates(t *testing.T) {
 	a := newInstance(t, "a", 1)
 	send := func(name string, incarnation, flags int) {
-		message := raw(t, name, "", "10.0.0.1:1", 10, incarnation, 1, 1, []uint64{}, []int64{}, flags, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{})
+		message := raw(t, name, "", "10.0.0.1:1", 10, incarnation, 1, 1, []uint64{}, []int64{}, flags, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{})
 		_, err := a.conn.WriteTo(message, a.conn.LocalAddr())
 		assert.NilError(t, err)
 	}
@@ -224,7 +224,7 @@
 func TestMalformedNotes(t *testing.T) {
 	a := newInstance(t, "a", 1)
 	whole := func(name, address string, loads, parts, versions, suspects []any) []byte {
-		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{}, versions, suspects)
+		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{}, versions, suspects, []any{})
 	}
 	withVersions := func(name, address string, loads, parts, versions []any) []byte {
 		return whole(name, address, loads, parts, versions, nil)
@@ -241,7 +241,7 @@
 		valid("x", "10.0.0.1:1", nil, []any{[]any{1, 2, -3, false}}),
 		withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 0, 1}}), withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"", 1, 1}}),
 		withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 1, -1}}), withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 1, 1 << 40}}),
-		raw(t, "x", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{1}, []int64{-1}, 0, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}),
+		raw(t, "x", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{1}, []int64{-1}, 0, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{}),
 		withSuspect(strings.Repeat("p", 100), 0, 1), withSuspect("p", -1, 1), withSuspect("p", 0, -1), withSuspect("p", 0, 1<<40), withSuspect("p", 1<<40, 1),
 	} {
 		_, err := a.conn.WriteTo(data, a.conn.LocalAddr())
@@ -254,7 +254,7 @@
 
 // FuzzNote guards against panics on malformed datagrams.
 func FuzzNote(f *testing.F) {
-	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}, []any{[]any{1, "p", 0, 1, false, time.Unix(1000, 0)}}})
+	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}, []any{[]any{1, "p", 0, 1, false, time.Unix(1000, 0)}}, []any{[]any{1, true}}})
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) { sharer.Check(data) })
--- a/translator/translator.go
+++ b/translator/translator.go
@@ -44,6 +44,8 @@
 	// Sealed reports that the answer carries the header by which endpoints mark
 	// their own answers.
 	Sealed bool
+	// Leaving reports that the endpoint is about to leave.
+	Leaving bool
 	// Weights is the version that ran, 0 if unknown.
 	Weights int
 	// KeepAliveSeconds is how long the endpoint keeps an idle connection open,
