Send nothing to endpoints that want no requests for a time

It gets no request, report or order until then. Requests go to other endpoints; if none is left, they wait in order if half of their time suffices, and are refused at once otherwise, with the time at which an endpoint takes requests again (forecaster).

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -194,7 +194,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	leftAt := m.leavingUntil
-	if m.said.Leaving() {
+	if m.said.Leaving() || m.said.HeldUntil().After(now) {
 		return !leftAt.IsZero() && leftAt.Before(now.Add(-saidRetention))
 	}
 	return !leftAt.IsZero() && !now.Add(-departedRetention).Before(leftAt)
@@ -301,6 +301,8 @@
 	// InBackoff reports recent failures, Loading that weights are being loaded,
 	// Leaving that the endpoint is about to leave, and Left that it has left.
 	InBackoff, Loading, Leaving, Left bool
+	// Held reports that it gets no requests now by what it has said.
+	Held bool
 	// SilentFor is how long it has sent nothing while requests are in flight.
 	SilentFor time.Duration
 	// LatencyRatio is the ratio of measured to predicted latency.
@@ -323,7 +325,7 @@
 	return View{
 		Entry: m.entry, Engine: m.engine, Load: load, Weights: m.weights[model],
 		InBackoff: m.backoffUntil.After(now), Loading: m.loadingUntil.After(now),
-		Leaving: !m.leavingUntil.IsZero() || m.said.Leaving(), Left: m.left(now),
+		Leaving: !m.leavingUntil.IsZero() || m.said.Leaving(), Left: m.left(now), Held: m.said.HeldUntil().After(now),
 		SilentFor:    m.silentFor(now),
 		LatencyRatio: (m.measuredMillis + latencyPriorMillis) / (m.predictedMillis + latencyPriorMillis),
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -121,15 +121,16 @@
 	// Cost is PredictedMillis plus penalties; the candidate with the lowest
 	// cost wins.
 	Cost float64
-	// Full reports that the endpoint has no room for a long prompt now.
-	Full bool
+	// Full reports that the endpoint has no room for a long prompt now, Held that it must
+	// get no request now.
+	Full, Held bool
 	// Outdated reports that the endpoint's weights are older than RequiredVersion, or
 	// without a candidate that those of all eligible ones are.
 	Outdated bool
 }
 
-// Choose returns the eligible candidate with the lowest cost, preferring
-// candidates with room, and the source to fetch cached parts from.
+// Choose returns the eligible candidate with the lowest cost, preferring those that may
+// get requests and those with room, and the source to fetch cached parts from.
 func Choose(requirements Requirements, candidates []Candidate, sources []Source) Choice {
 	best := Choice{CandidateIndex: -1, SourceIndex: -1}
 	minVersion := minVersion(requirements, candidates)
@@ -142,13 +143,24 @@
 			continue
 		}
 		choice := predict(requirements, candidate, index, sources)
-		if best.CandidateIndex < 0 || best.Full && !choice.Full || best.Full == choice.Full && choice.Cost < best.Cost {
+		if best.CandidateIndex < 0 || choice.before(best) {
 			best = choice
 		}
 	}
 	return best
 }
 
+// before reports whether c is better than other: by the wait for room first.
+func (c Choice) before(other Choice) bool {
+	if c.Held != other.Held {
+		return other.Held
+	}
+	if c.Full != other.Full {
+		return other.Full
+	}
+	return c.Cost < other.Cost
+}
+
 // minVersion returns the oldest version to be used: that which should be used if
 // an eligible candidate serves it, otherwise the required one. If no endpoint at
 // all serves that, older ones may be used unless the requirements are strict.
@@ -176,7 +188,7 @@
 // predict returns the predicted latency and cost of the candidate at index.
 func predict(requirements Requirements, candidate Candidate, index int, sources []Source) Choice {
 	view := candidate.View
-	choice := Choice{CandidateIndex: index, SourceIndex: -1, Outdated: view.Weights < requirements.RequiredVersion}
+	choice := Choice{CandidateIndex: index, SourceIndex: -1, Held: view.Held, Outdated: view.Weights < requirements.RequiredVersion}
 	if view.Engine == nil {
 		choice.UnscaledMillis = serviceMillis * (1 + float64(max(0, view.Load.Requests+1-view.Entry.Slots)))
 		choice.PredictedMillis = choice.UnscaledMillis * view.LatencyRatio
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -47,6 +47,9 @@
 		"loading":                        {short, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Loading = true }), candidateIn("b", prefilling)}, 1},
 		"old weights":                    {short, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Weights = 1 }), candidateIn("b", nil)}, 1},
 		"old weights with shorter queue": {longRequirements, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Weights = 1 }), candidateIn("b", func(c *placer.Candidate) { c.View.Load.PrefillTokens = 60000 })}, 0},
+		"held":                           {short, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Held = true }), candidateIn("b", prefilling)}, 1},
+		"full before held":               {longRequirements, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Held = true }), candidateIn("b", func(c *placer.Candidate) { c.View.Load = monitor.Load{Requests: 3, KVTokens: 70000} })}, 1},
+		"all are held":                   {short, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Held = true })}, 0},
 		"room before latency":            {longRequirements, []placer.Candidate{candidateIn("a", func(c *placer.Candidate) { c.View.Load = monitor.Load{Requests: 3, KVTokens: 70000} }), candidateIn("b", func(c *placer.Candidate) { c.View.Load = monitor.Load{Requests: 40, PrefillTokens: 30000} })}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -220,7 +220,7 @@
 		r.deps.QueryWeights(a.endpoint)
 	}
 	refusal := refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s did not run it (%d)", a.entry.Name, head.Status)
-	return r.reusable(a, head, response, err), refusal.WithRetryAt(r.deps.Now().Add(retryAfter))
+	return r.reusable(a, head, response, err), refusal.WithRetryAt(r.retryAt(a.request.Pool.Name, r.deps.Now()))
 }
 
 // relayWhole relays an answer that is not a stream after all of it has arrived.
--- a/relayer/observe.go
+++ b/relayer/observe.go
@@ -25,4 +25,11 @@
 		r.deps.Log.Info("endpoint says that it leaves", zap.String("endpoint", name))
 		r.deps.AnnounceSaid(endpoint)
 	}
+	if answer.WaitMillis > 0 {
+		waitUntil := now.Add(time.Duration(answer.WaitMillis) * time.Millisecond)
+		if endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithWait(waitUntil) }) {
+			r.deps.Count.Add("endpoints", "waiting")
+			r.deps.Log.Info("endpoint wants no requests", zap.String("endpoint", name), zap.Int("millis", answer.WaitMillis))
+		}
+	}
 }
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"wisteriadrum/forecaster"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
 	"wisteriadrum/pacer"
@@ -14,36 +16,88 @@
 	"wisteriadrum/requester"
 )
 
-// waitForRoom chooses an endpoint and waits while none has room. After half of
-// its remaining time the request is refused, so that its caller has time to
-// retry.
+// waitForRoom chooses an endpoint and waits while none has room or may get requests.
+// After half of its remaining time the request is refused, so that its caller has time to
+// retry, and at once if it would wait longer.
 func (r *Relayer) waitForRoom(ctx context.Context, e *exchange) *refuser.Refusal {
-	refusal := r.choose(e, r.deps.Now())
-	if refusal != nil || !e.choice.Full || e.answer.Begun() {
-		return refusal // a caller that already received a part of the stream does not wait
+	startedAt := r.deps.Now()
+	refusal := r.choose(e, startedAt)
+	if refusal != nil || !e.mustWait() {
+		return refusal
 	}
-	queue := r.queue(e.request.Pool.Name)
+	queue := r.queue(queueKey{e.request.Pool.Name, e.choice.Held})
 	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
 	queue.Join(ticket)
 	defer queue.Leave(ticket)
-	startedAt := r.deps.Now()
 	giveUpAt := startedAt.Add(e.deadline.Sub(startedAt) / 2)
+	if refusal := r.refuseHeld(e, queue.Ahead(ticket, startedAt), giveUpAt); refusal != nil {
+		return refusal
+	}
 	for pacer.Wait(ctx, pacer.Jitter(roomCheckInterval)) {
 		now := r.deps.Now()
 		if !now.Before(giveUpAt) {
-			return refuser.New(refuser.Overloaded, judge.NotRun, "no engine had room for %d ms", now.Sub(startedAt).Milliseconds()).WithRetryAt(now.Add(retryAfter))
+			return refuser.New(refuser.Overloaded, judge.NotRun, "no endpoint had room for %d ms", now.Sub(startedAt).Milliseconds()).WithRetryAt(r.retryAt(e.request.Pool.Name, now))
 		}
 		if queue.Ahead(ticket, now) > 0 {
 			continue
 		}
-		if refusal := r.choose(e, now); refusal != nil || !e.choice.Full {
+		if refusal := r.choose(e, now); refusal != nil || !e.mustWait() {
 			e.waited = now.Sub(startedAt)
 			return refusal
 		}
+		if refusal := r.refuseHeld(e, 0, giveUpAt); refusal != nil {
+			return refusal
+		}
 	}
 	return refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
 }
 
+// mustWait reports whether the chosen endpoint must not get the request now. A caller that
+// has received a part of the stream does not wait for room.
+func (e *exchange) mustWait() bool {
+	return e.choice.Held || e.choice.Full && !e.answer.Begun()
+}
+
+// refuseHeld refuses a request that no endpoint may get before giveUpAt.
+func (r *Relayer) refuseHeld(e *exchange, ahead int, giveUpAt time.Time) *refuser.Refusal {
+	if !e.choice.Held {
+		return nil
+	}
+	now := r.deps.Now()
+	openAt := r.openAt(e.request.Pool.Name, e.tried, ahead, now)
+	if !openAt.After(giveUpAt) {
+		return nil
+	}
+	return refuser.New(refuser.Overloaded, judge.NotRun, "no endpoint of pool %s takes a request for %d ms", e.request.Pool.Name, openAt.Sub(now).Milliseconds()).WithRetryAt(openAt.Add(rand.N(retrySpread)))
+}
+
+// retryAt returns when a refused caller may return: when an endpoint of the pool may get
+// requests again, or after the default delay if one may now.
+func (r *Relayer) retryAt(pool string, now time.Time) time.Time {
+	if openAt := r.openAt(pool, nil, 0, now); openAt.After(now) {
+		return openAt.Add(rand.N(retrySpread))
+	}
+	return now.Add(retryAfter)
+}
+
+// openAt returns when an endpoint of the pool that is not among tried is expected to get a
+// request before which so many wait; now or earlier if one may get requests, or none ever.
+func (r *Relayer) openAt(pool string, tried []*monitor.Monitor, ahead int, now time.Time) time.Time {
+	forecast := forecaster.New()
+	for _, endpoint := range r.deps.Registrar.Fleet().Pool(pool) {
+		if endpoint.Left(now) || slices.Contains(tried, endpoint) {
+			continue
+		}
+		heldUntil := endpoint.Said().HeldUntil()
+		if !heldUntil.After(now) {
+			return now
+		}
+		forecast = forecast.WithOpening(heldUntil, 0)
+	}
+	at, _ := forecast.When(ahead)
+	return at
+}
+
 // refreshRoute resolves the request again if the configuration has changed
 // since.
 func (r *Relayer) refreshRoute(request *requester.Request) *refuser.Refusal {
@@ -102,7 +156,7 @@
 		return refuser.New(refuser.WrongWeights, judge.NotRun, "no endpoint of pool %s is left with version %d of the weights of %s", request.Pool.Name, requirements.RequiredVersion, request.Model).WithRetryAt(now.Add(retryAfter))
 	}
 	if choice.CandidateIndex < 0 {
-		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is left", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
+		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is left", request.Pool.Name).WithRetryAt(r.retryAt(request.Pool.Name, now))
 	}
 	e.choice, e.endpoint, e.source = choice, monitors[(choice.CandidateIndex+offset)%len(monitors)], nil
 	if choice.SourceIndex >= 0 {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,6 +42,9 @@
 	// retryAfter is the default delay after which a caller may retry: about the
 	// time until a change of the endpoints appears in their list.
 	retryAfter = time.Second
+	// retrySpread is the time over which callers return that were refused since all
+	// endpoints want no requests until the same time.
+	retrySpread = 200 * time.Millisecond
 )
 
 // Relayer relays requests.
@@ -50,7 +53,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
-	queues  map[string]*queuer.Queue
+	queues  map[queueKey]*queuer.Queue
 	watched map[*attempt]struct{}
 	// watchStarted receives a value when an attempt is added to watched.
 	watchStarted chan struct{}
@@ -105,7 +108,7 @@
 // New returns a relayer.
 func New(deps Dependencies) *Relayer {
 	return &Relayer{
-		deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
+		deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[queueKey]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
 	}
 }
 
@@ -132,14 +135,21 @@
 	return budget
 }
 
-// queue returns the queue of a pool.
-func (r *Relayer) queue(pool string) *queuer.Queue {
+// queueKey identifies a queue: of the requests to a pool that wait until its endpoints have
+// room, or until these may get requests.
+type queueKey struct {
+	pool string
+	held bool
+}
+
+// queue returns the queue with a key.
+func (r *Relayer) queue(key queueKey) *queuer.Queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	queue := r.queues[pool]
+	queue := r.queues[key]
 	if queue == nil {
 		queue = queuer.New()
-		r.queues[pool] = queue
+		r.queues[key] = queue
 	}
 	return queue
 }
--- a/restrainer/restrainer.go
+++ b/restrainer/restrainer.go
@@ -10,6 +10,8 @@
 	// leaveBy is when it must get no more requests, zero unless it has said that it
 	// leaves.
 	leaveBy time.Time
+	// waitUntil is until when it wants no requests.
+	waitUntil time.Time
 }
 
 // WithLeaving returns a restrainer of an endpoint that has said that it leaves and must
@@ -26,3 +28,15 @@
 
 // Left reports whether the endpoint must get no requests at now and later.
 func (r Restrainer) Left(now time.Time) bool { return r.Leaving() && !now.Before(r.leaveBy) }
+
+// WithWait returns a restrainer of an endpoint that wants no requests until a time. The
+// latest such time stands.
+func (r Restrainer) WithWait(until time.Time) Restrainer {
+	if until.After(r.waitUntil) {
+		r.waitUntil = until
+	}
+	return r
+}
+
+// HeldUntil returns until when the endpoint gets no requests, in the past if it does.
+func (r Restrainer) HeldUntil() time.Time { return r.waitUntil }
--- a/restrainer/restrainer_test.go
+++ b/restrainer/restrainer_test.go
@@ -22,3 +22,13 @@
 	assert.Assert(t, said.Leaving())
 	assert.Assert(t, !said.Left(at(999)) && said.Left(at(1000)))
 }
+
+// Guards against an endpoint whose wait is shortened by a later answer.
+func TestWait(t *testing.T) {
+	said := restrainer.Restrainer{}
+	assert.Assert(t, said.HeldUntil().IsZero())
+	said = said.WithWait(at(3000)).WithWait(at(1000))
+	assert.Equal(t, said.HeldUntil(), at(3000))
+	assert.Equal(t, said.WithWait(at(4000)).HeldUntil(), at(4000))
+	assert.Assert(t, !said.Leaving())
+}
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -219,7 +219,7 @@
 			if until, obsolete := versions.UsableUntil(view.Weights); obsolete {
 				t.addOutdated(until)
 			}
-			if view.Weights < versions.Newest() && !r.isUnavailable(endpoint.Key) {
+			if view.Weights < versions.Newest() && !r.isUnavailable(endpoint.Key) && !isHeld(endpoint) {
 				t.candidates = append(t.candidates, OutdatedEngine{Endpoint: endpoint, InFlight: view.Load.Requests, Version: view.Weights, Failures: r.failureCount(endpoint.Key)})
 			}
 		}
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -21,6 +21,7 @@
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
+	"wisteriadrum/restrainer"
 	"wisteriadrum/roller"
 	"wisteriadrum/router"
 	"wisteriadrum/sharer"
@@ -287,6 +288,30 @@
 	})
 }
 
+// Guards against orders to an engine that wants no calls for a time, and against an engine
+// that gets none afterwards.
+func TestOrdersToWaitingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		engines := newFleet()
+		_, state := instance(ctx, t, "a", engines, emulator.New(time.Now).Table())
+		var waiting *monitor.Monitor
+		for _, waiting = range state.Fleet().All() {
+			break
+		}
+		waitUntil := time.Now().Add(20 * time.Second)
+		waiting.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithWait(waitUntil) })
+		state.AddVersion("m", announced(2))
+		time.Sleep(19 * time.Second)
+		assert.Equal(t, waiting.Weights("m"), 1)
+		time.Sleep(10 * time.Second)
+		for name, engine := range state.Fleet().All() {
+			assert.Equal(t, engine.Weights("m"), 2, name)
+		}
+	})
+}
+
 // Guards against weights that are never rolled out while each holder of the lease is lost
 // soon: one instance that is restarted, or others in turn.
 func TestHoldersLostInSeries(t *testing.T) {
--- a/roller/update.go
+++ b/roller/update.go
@@ -83,7 +83,7 @@
 	defer r.ordering.RUnlock()
 	held := r.held.Load()
 	order := Order{Model: t.model, Version: t.version, FencingToken: held.FencingToken, ExpectedOrders: acceptedOrders}
-	if r.stopped || held.Reserved || !held.Valid(r.now()) || endpoint.Left(time.Now()) {
+	if r.stopped || held.Reserved || !held.Valid(r.now()) || endpoint.Left(time.Now()) || isHeld(endpoint) {
 		return order, errNotSent
 	}
 	r.mu.Lock()
@@ -94,6 +94,9 @@
 	return order, r.engines.Order(limit, endpoint.Entry(), order)
 }
 
+// isHeld reports whether the endpoint wants no calls now.
+func isHeld(endpoint *monitor.Monitor) bool { return endpoint.Said().HeldUntil().After(time.Now()) }
+
 func (r *Roller) hasStopped() bool {
 	r.ordering.RLock()
 	defer r.ordering.RUnlock()
@@ -114,6 +117,9 @@
 	deadline, announceAt := r.now().Add(loadTimeout), r.now().Add(announceInterval)
 	for pacer.Wait(ctx, roundInterval) && r.now().Before(deadline) {
 		report, err := r.report(ctx, endpoint)
+		if errors.Is(err, errHeld) {
+			continue
+		}
 		if err != nil || r.finished(endpoint, t, report) {
 			return
 		}
@@ -147,7 +153,13 @@
 	}
 }
 
+// errHeld means that the endpoint wants no calls now.
+var errHeld = errors.New("endpoint wants no calls")
+
 func (r *Roller) report(ctx context.Context, endpoint *monitor.Monitor) (Report, error) {
+	if isHeld(endpoint) {
+		return Report{}, errHeld
+	}
 	limit, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := r.engines.Report(limit, endpoint.Entry())
@@ -166,7 +178,7 @@
 // called after the engine refused a request because it has other weights than
 // recorded.
 func (r *Roller) RefreshWeights(endpoint *monitor.Monitor) {
-	if r.isUnavailable(endpoint.Key) {
+	if r.isUnavailable(endpoint.Key) || isHeld(endpoint) {
 		return
 	}
 	r.mu.Lock()
--- a/translator/translator.go
+++ b/translator/translator.go
@@ -46,6 +46,9 @@
 	Sealed bool
 	// Leaving reports that the endpoint is about to leave.
 	Leaving bool
+	// WaitMillis is how long the endpoint, which refused the request, wants no other
+	// from this instance, 0 if it did not say so.
+	WaitMillis int
 	// Weights is the version that ran, 0 if unknown.
 	Weights int
 	// KeepAliveSeconds is how long the endpoint keeps an idle connection open,
