Keep the limits that endpoints name, by permits of one instance

Cause: nothing knew Server-Limit. A limit of all instances together cannot be kept by what each of them sees.

The home of the endpoint, a hub by a hash of both names, grants permits, and tells those that it refuses when to ask again, one after the other. Without a permit a request goes to another endpoint, waits in order of its kind, or is refused at once if half of its time does not suffice. Every send takes a permit, also a retry and a resumed stream; reports and orders count without one. The limit ends with an answer that names none.

--- a/informer/answerer.go
+++ b/informer/answerer.go
@@ -98,9 +98,15 @@
 	}
 }
 
-// Serve answers calls of other instances until listener is closed.
-func (i *Informer) Serve(listener net.Listener) error {
+// Serve answers calls of other instances until listener is closed. register adds further
+// services.
+func (i *Informer) Serve(listener net.Listener, register ...func(*rpc.Server) error) error {
 	server := rpc.NewServer()
+	for _, add := range register {
+		if err := add(server); err != nil {
+			return err
+		}
+	}
 	if err := server.RegisterName(service, &answerer{feeders: i.feeders, storeDown: i.storeDown, known: i.Known, pages: newPacker()}); err != nil {
 		return err
 	}
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -29,8 +29,8 @@
 	// cached parts.
 	cacheShare = 0.8
 	// departedRetention is how long an endpoint is kept after it has left, so that its
-	// last answers are still counted, and saidRetention how long one that has said that
-	// it leaves, since its entry may be listed again.
+	// last answers are still counted, and saidRetention how long one whose words still
+	// matter, since its entry may be listed again.
 	departedRetention = 10 * time.Second
 	saidRetention     = 10 * time.Minute
 )
@@ -194,7 +194,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	leftAt := m.leavingUntil
-	if m.said.Leaving() || m.said.HeldUntil().After(now) {
+	if _, limited := m.said.Limit(); limited || m.said.Leaving() || m.said.WaitUntil().After(now) {
 		return !leftAt.IsZero() && leftAt.Before(now.Add(-saidRetention))
 	}
 	return !leftAt.IsZero() && !now.Add(-departedRetention).Before(leftAt)
@@ -301,8 +301,9 @@
 	// InBackoff reports recent failures, Loading that weights are being loaded,
 	// Leaving that the endpoint is about to leave, and Left that it has left.
 	InBackoff, Loading, Leaving, Left bool
-	// Held reports that it gets no requests now by what it has said.
-	Held bool
+	// Held reports that it gets no requests from this instance now by what it has said,
+	// Limited that it takes only so many a second from all instances.
+	Held, Limited bool
 	// SilentFor is how long it has sent nothing while requests are in flight.
 	SilentFor time.Duration
 	// LatencyRatio is the ratio of measured to predicted latency.
@@ -314,6 +315,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
+	_, limited := m.said.Limit()
 	load := m.ownLoad
 	for peer, report := range m.peers {
 		if !now.Before(report.expiresAt) {
@@ -325,7 +327,7 @@
 	return View{
 		Entry: m.entry, Engine: m.engine, Load: load, Weights: m.weights[model],
 		InBackoff: m.backoffUntil.After(now), Loading: m.loadingUntil.After(now),
-		Leaving: !m.leavingUntil.IsZero() || m.said.Leaving(), Left: m.left(now), Held: m.said.HeldUntil().After(now),
+		Leaving: !m.leavingUntil.IsZero() || m.said.Leaving(), Left: m.left(now), Held: m.said.HeldUntil().After(now), Limited: limited,
 		SilentFor:    m.silentFor(now),
 		LatencyRatio: (m.measuredMillis + latencyPriorMillis) / (m.predictedMillis + latencyPriorMillis),
 	}
--- /dev/null
+++ b/permitter/permitter.go
@@ -0,0 +1,215 @@
+// Package permitter asks for permits to send requests to endpoints that take only so many a
+// second from all instances. One instance, the home of the endpoint, counts them.
+package permitter
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"wisteriadrum/counter"
+	"wisteriadrum/rationer"
+)
+
+const (
+	// callTimeout bounds the time that a request waits for an answer of the home.
+	callTimeout = 100 * time.Millisecond
+	// failurePause is the pause after a call to the home that was not answered. A home
+	// that is lost is replaced once it counts as down.
+	failurePause = 250 * time.Millisecond
+	// retention is how long an unused rationer is kept.
+	retention = time.Minute
+	maxRate   = 1e9
+	// maxHops is the number of instances that a request passes at most: the hub of its
+	// sender, and the home.
+	maxHops = 2
+	service = "Permits"
+)
+
+// Permitter asks for permits, and grants them for the endpoints whose home this instance
+// is.
+type Permitter struct {
+	// home returns the address of the home of an endpoint, or of an instance that knows
+	// it, and whether it is this instance.
+	home  func(key uint64) (address string, local bool)
+	dial  func(address string) (net.Conn, error)
+	count *counter.Counter
+	now   func() time.Time
+
+	mu        sync.Mutex
+	rationers map[uint64]rationer.Rationer
+	clients   map[string]*rpc.Client
+}
+
+// New returns a permitter. home returns the address of the home of the endpoint with a key
+// and whether that is this instance.
+func New(home func(key uint64) (address string, local bool), dial func(address string) (net.Conn, error), count *counter.Counter, now func() time.Time) *Permitter {
+	return &Permitter{home: home, dial: dial, count: count, now: now, rationers: map[uint64]rationer.Rationer{}, clients: map[string]*rpc.Client{}}
+}
+
+// Ask is a request for a permit, sent between instances.
+type Ask struct {
+	Key uint64
+	// PerSecond is the number of requests that the endpoint takes a second.
+	PerSecond float64
+	// Called means that a call was made that needs no permit but counts.
+	Called bool
+	// Hops is the number of instances that have forwarded the request.
+	Hops int
+}
+
+// Answer is the answer to an Ask.
+type Answer struct {
+	Granted bool
+	// WaitMillis is after how many milliseconds to ask again.
+	WaitMillis int64
+}
+
+// errMalformed means that a request holds a rate that is no rate.
+var errMalformed = errors.New("request for a permit holds a rate out of range")
+
+// Take asks to send a request to the endpoint with a key, which takes perSecond requests a
+// second from all instances. It returns whether the request may be sent, and when to ask
+// again otherwise.
+func (p *Permitter) Take(key uint64, perSecond float64) (granted bool, retryAt time.Time) {
+	result, err := p.decide(Ask{Key: key, PerSecond: perSecond})
+	switch {
+	case err != nil:
+		p.count.Add("permits", "unanswered")
+		return false, p.now().Add(failurePause)
+	case result.Granted:
+		p.count.Add("permits", "granted")
+		return true, time.Time{}
+	default:
+		p.count.Add("permits", "refused")
+		return false, p.now().Add(time.Duration(result.WaitMillis) * time.Millisecond)
+	}
+}
+
+// RecordCall counts a call to an endpoint that needs no permit.
+func (p *Permitter) RecordCall(key uint64, perSecond float64) {
+	if _, err := p.decide(Ask{Key: key, PerSecond: perSecond, Called: true}); err != nil {
+		p.count.Add("permits", "unanswered")
+	}
+}
+
+// decide decides a request here or at the home.
+func (p *Permitter) decide(request Ask) (Answer, error) {
+	if !(request.PerSecond >= 0 && request.PerSecond <= maxRate) {
+		return Answer{}, errMalformed
+	}
+	address, local := p.home(request.Key)
+	if local || request.Hops >= maxHops {
+		return p.grant(request), nil
+	}
+	request.Hops++
+	return p.askHome(address, request)
+}
+
+// grant decides a request as the home of the endpoint.
+func (p *Permitter) grant(request Ask) Answer {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ration, known := p.rationers[request.Key]
+	if !known {
+		p.prune(now)
+		ration = rationer.New(request.PerSecond, now)
+	}
+	ration = ration.WithRate(request.PerSecond, now)
+	if request.Called {
+		p.rationers[request.Key] = ration.WithCall(now)
+		return Answer{Granted: true}
+	}
+	ration, granted, retryAt := ration.Take(now)
+	p.rationers[request.Key] = ration
+	if granted {
+		return Answer{Granted: true}
+	}
+	return Answer{WaitMillis: max(1, retryAt.Sub(now).Milliseconds())}
+}
+
+// prune drops the rationers that were not used for long. The caller holds the lock.
+func (p *Permitter) prune(now time.Time) {
+	for key, ration := range p.rationers {
+		if now.After(ration.UsedAt().Add(retention)) {
+			delete(p.rationers, key)
+		}
+	}
+}
+
+// errSilent means that the home did not answer in time.
+var errSilent = errors.New("home did not answer in time")
+
+// askHome sends a request to the instance at address.
+func (p *Permitter) askHome(address string, request Ask) (Answer, error) {
+	var result Answer
+	client, err := p.client(address)
+	if err != nil {
+		return result, err
+	}
+	call := client.Go(service+".Decide", request, &result, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-timer.C:
+		err = errSilent
+	}
+	if err != nil {
+		p.drop(address, client)
+		return Answer{}, err
+	}
+	return result, nil
+}
+
+// client returns a connection to the instance at address.
+func (p *Permitter) client(address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	known := p.clients[address]
+	p.mu.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	conn, err := p.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	added := rpc.NewClient(conn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known = p.clients[address]; known != nil {
+		_ = added.Close() // another request was faster
+		return known, nil
+	}
+	p.clients[address] = added
+	return added, nil
+}
+
+// drop closes a connection that has failed.
+func (p *Permitter) drop(address string, client *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[address] == client {
+		delete(p.clients, address)
+	}
+	_ = client.Close() // it is not used again
+}
+
+// decider is the RPC service of a permitter.
+type decider struct{ permit *Permitter }
+
+// Decide decides a request of another instance, or forwards it to the home of the endpoint.
+func (d *decider) Decide(request Ask, answer *Answer) error {
+	decided, err := d.permit.decide(request)
+	*answer = decided
+	return err
+}
+
+// Register adds the service that decides the requests of other instances.
+func (p *Permitter) Register(server *rpc.Server) error {
+	return server.RegisterName(service, &decider{p})
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -188,7 +188,11 @@
 		}
 		r.recordProgress(a)
 		response := r.deps.Translator.DecodeAnswer(head)
-		r.Observe(a.endpoint, response)
+		sentAt := a.sentAt
+		if response.RequestID != a.request.ID {
+			sentAt = time.Time{}
+		}
+		r.Observe(a.endpoint, response, sentAt)
 		if response.RequestID == a.request.ID || response.RequestID == "" && (response.NotRun || response.WrongTarget) {
 			return head, response, nil
 		}
--- a/relayer/observe.go
+++ b/relayer/observe.go
@@ -10,9 +10,9 @@
 	"wisteriadrum/translator"
 )
 
-// Observe applies what an endpoint says of itself in an answer, and announces it to the
-// other instances if it is new.
-func (r *Relayer) Observe(endpoint *monitor.Monitor, answer translator.Answer) {
+// Observe applies what an endpoint says of itself in the answer to a call that was made at
+// sentAt, zero if unknown, and announces it to the other instances if it is new.
+func (r *Relayer) Observe(endpoint *monitor.Monitor, answer translator.Answer, sentAt time.Time) {
 	name := endpoint.Entry().Name
 	if answer.Endpoint != "" && answer.Endpoint != name {
 		return // another endpoint answers at this address
@@ -23,7 +23,7 @@
 		endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithLeaving(leaveBy) })
 		r.deps.Count.Add("endpoints", "leaving")
 		r.deps.Log.Info("endpoint says that it leaves", zap.String("endpoint", name))
-		r.deps.AnnounceSaid(endpoint)
+		r.deps.AnnounceSaid(endpoint, false)
 	}
 	if answer.WaitMillis > 0 {
 		waitUntil := now.Add(time.Duration(answer.WaitMillis) * time.Millisecond)
@@ -32,4 +32,25 @@
 			r.deps.Log.Info("endpoint wants no requests", zap.String("endpoint", name), zap.Int("millis", answer.WaitMillis))
 		}
 	}
+	r.observeLimit(endpoint, answer, sentAt, now)
+}
+
+// observeLimit applies the limit that an endpoint names, or its end.
+func (r *Relayer) observeLimit(endpoint *monitor.Monitor, answer translator.Answer, sentAt, now time.Time) {
+	_, wasLimited := endpoint.Said().Limit()
+	changed := false
+	switch {
+	case answer.Limited:
+		changed = endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer {
+			return said.WithLimit(answer.LimitPerSecond, now)
+		})
+	case wasLimited && (answer.Sealed || answer.NotRun):
+		changed = endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithoutLimit(sentAt) })
+	}
+	if !changed {
+		return
+	}
+	r.deps.Count.Add("endpoints", "limit")
+	r.deps.Log.Info("endpoint limits its requests", zap.String("endpoint", endpoint.Entry().Name), zap.Bool("limited", answer.Limited), zap.Float64("second", answer.LimitPerSecond))
+	r.deps.AnnounceSaid(endpoint, !answer.Limited)
 }
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -14,6 +14,7 @@
 	"wisteriadrum/queuer"
 	"wisteriadrum/refuser"
 	"wisteriadrum/requester"
+	"wisteriadrum/restrainer"
 )
 
 // waitForRoom chooses an endpoint and waits while none has room or may get requests.
@@ -21,12 +22,16 @@
 // retry, and at once if it would wait longer.
 func (r *Relayer) waitForRoom(ctx context.Context, e *exchange) *refuser.Refusal {
 	startedAt := r.deps.Now()
-	refusal := r.choose(e, startedAt)
+	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
+	held := r.queue(queueKey{e.request.Pool.Name, true})
+	refusal := r.place(ctx, e, held.Ahead(ticket, startedAt) > 0)
 	if refusal != nil || !e.mustWait() {
 		return refusal
 	}
-	queue := r.queue(queueKey{e.request.Pool.Name, e.choice.Held})
-	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
+	queue := held
+	if !e.choice.Held {
+		queue = r.queue(queueKey{e.request.Pool.Name, false})
+	}
 	queue.Join(ticket)
 	defer queue.Leave(ticket)
 	giveUpAt := startedAt.Add(e.deadline.Sub(startedAt) / 2)
@@ -41,7 +46,7 @@
 		if queue.Ahead(ticket, now) > 0 {
 			continue
 		}
-		if refusal := r.choose(e, now); refusal != nil || !e.mustWait() {
+		if refusal := r.place(ctx, e, false); refusal != nil || !e.mustWait() {
 			e.waited = now.Sub(startedAt)
 			return refusal
 		}
@@ -52,6 +57,28 @@
 	return refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
 }
 
+// place chooses an endpoint, and takes a permit if that has named a limit. behind means
+// that others wait for such a permit before this request.
+func (r *Relayer) place(ctx context.Context, e *exchange, behind bool) *refuser.Refusal {
+	for range maxPermitAsks {
+		refusal := r.choose(e, behind, r.deps.Now())
+		if refusal != nil || e.mustWait() || ctx.Err() != nil {
+			return refusal
+		}
+		perSecond, limited := e.endpoint.Said().Limit()
+		if !limited {
+			return nil
+		}
+		granted, retryAt := r.deps.TakePermit(e.endpoint.Key, perSecond)
+		if granted {
+			return nil
+		}
+		e.endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithNoPermit(retryAt) })
+	}
+	e.choice.Held = true
+	return nil
+}
+
 // mustWait reports whether the chosen endpoint must not get the request now. A caller that
 // has received a part of the stream does not wait for room.
 func (e *exchange) mustWait() bool {
@@ -83,16 +110,21 @@
 // openAt returns when an endpoint of the pool that is not among tried is expected to get a
 // request before which so many wait; now or earlier if one may get requests, or none ever.
 func (r *Relayer) openAt(pool string, tried []*monitor.Monitor, ahead int, now time.Time) time.Time {
+	r.mu.Lock()
+	instances := max(1, r.instances)
+	r.mu.Unlock()
 	forecast := forecaster.New()
 	for _, endpoint := range r.deps.Registrar.Fleet().Pool(pool) {
 		if endpoint.Left(now) || slices.Contains(tried, endpoint) {
 			continue
 		}
-		heldUntil := endpoint.Said().HeldUntil()
-		if !heldUntil.After(now) {
+		said := endpoint.Said()
+		perSecond, limited := said.Limit()
+		heldUntil := said.HeldUntil()
+		if !limited && !heldUntil.After(now) {
 			return now
 		}
-		forecast = forecast.WithOpening(heldUntil, 0)
+		forecast = forecast.WithOpening(heldUntil, perSecond/float64(instances))
 	}
 	at, _ := forecast.When(ahead)
 	return at
@@ -108,9 +140,10 @@
 	return Resolve(request, table)
 }
 
-// choose selects an endpoint, and the source to fetch cached parts from. It refuses
-// a prompt with a part that crashes endpoints, also one that waited until now.
-func (r *Relayer) choose(e *exchange, now time.Time) *refuser.Refusal {
+// choose selects an endpoint, and the source to fetch cached parts from. If the request is
+// behind others that wait for a permit, it holds back from endpoints that need one. It
+// refuses a prompt with a part that crashes endpoints, also one that waited until now.
+func (r *Relayer) choose(e *exchange, behind bool, now time.Time) *refuser.Refusal {
 	request := e.request
 	if part, found := r.deps.Detector.Find(request, now); found {
 		return refuser.New(refuser.PartQuarantined, judge.NotRun, "part %q of the prompt crashed endpoints %d times in succession", part.Name, part.Level).WithRetryAt(part.Until)
@@ -137,6 +170,7 @@
 	for i := range monitors {
 		endpoint := monitors[(i+offset)%len(monitors)]
 		view := endpoint.View(request.Model, now)
+		view.Held = view.Held || behind && view.Limited
 		cached, ready := cachedTokens(endpoint, request, view.Weights)
 		candidates[i] = placer.Candidate{View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint)}
 		if ready > 0 && !view.InBackoff && !view.Loading && !view.Left {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -31,6 +31,9 @@
 	// maxSends limits how often a request is sent if endpoints refuse it
 	// without running it.
 	maxSends = 4
+	// maxPermitAsks limits for how many endpoints a request asks for a permit before it
+	// waits.
+	maxPermitAsks = 4
 	// answerMargin is reserved for sending the answer to the caller.
 	answerMargin = 10 * time.Millisecond
 	// roomCheckInterval is the mean interval at which a waiting request checks
@@ -95,8 +98,12 @@
 	// may crash endpoints.
 	AnnounceSuspects func([]detector.Suspect)
 	// AnnounceSaid announces to the other instances what an endpoint has said of
-	// itself.
-	AnnounceSaid func(endpoint *monitor.Monitor)
+	// itself. limitEnded means that it has stopped naming a limit.
+	AnnounceSaid func(endpoint *monitor.Monitor, limitEnded bool)
+	// TakePermit asks to send a request to the endpoint with a key, which takes perSecond
+	// requests a second from all instances. It returns whether the request may be sent,
+	// and when to ask again otherwise.
+	TakePermit func(key uint64, perSecond float64) (granted bool, retryAt time.Time)
 	// LastUseMillis is how long an endpoint may still get requests after it has said
 	// that it leaves.
 	LastUseMillis int
--- a/roller/update.go
+++ b/roller/update.go
@@ -95,7 +95,7 @@
 }
 
 // isHeld reports whether the endpoint wants no calls now.
-func isHeld(endpoint *monitor.Monitor) bool { return endpoint.Said().HeldUntil().After(time.Now()) }
+func isHeld(endpoint *monitor.Monitor) bool { return endpoint.Said().WaitUntil().After(time.Now()) }
 
 func (r *Roller) hasStopped() bool {
 	r.ordering.RLock()
--- /dev/null
+++ b/runner/engines.go
@@ -0,0 +1,62 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"wisteriadrum/monitor"
+	"wisteriadrum/roller"
+	"wisteriadrum/translator"
+)
+
+// countedEngines counts the calls to engines that take only so many requests a second, and
+// observes what engines say of themselves in the answers.
+type countedEngines struct {
+	client roller.EngineClient
+	runner *Runner
+}
+
+// engines returns the client of the engines.
+func (r *Runner) engines() *countedEngines {
+	return &countedEngines{client: r.deps.Engines(r.observe), runner: r}
+}
+
+// Report fetches the state of an engine.
+func (c *countedEngines) Report(ctx context.Context, engine monitor.Entry) (roller.Report, error) {
+	c.count(engine)
+	return c.client.Report(ctx, engine)
+}
+
+// Order sends an order to an engine.
+func (c *countedEngines) Order(ctx context.Context, engine monitor.Entry, order roller.Order) error {
+	c.count(engine)
+	return c.client.Order(ctx, engine, order)
+}
+
+// count counts a call to an engine that has named a limit.
+func (c *countedEngines) count(engine monitor.Entry) {
+	endpoint := c.runner.endpoint(engine)
+	if endpoint == nil {
+		return
+	}
+	if perSecond, limited := endpoint.Said().Limit(); limited {
+		go c.runner.permitter.RecordCall(endpoint.Key, perSecond)
+	}
+}
+
+// observe applies what an endpoint says of itself in the answer to a call that is no
+// request.
+func (r *Runner) observe(entry monitor.Entry, answer translator.Answer, sentAt time.Time) {
+	if endpoint := r.endpoint(entry); endpoint != nil {
+		r.relayer.Observe(endpoint, answer, sentAt)
+	}
+}
+
+// endpoint returns the endpoint with an entry, nil if it is not known any more.
+func (r *Runner) endpoint(entry monitor.Entry) *monitor.Monitor {
+	endpoint := r.registrar.Fleet().All()[entry.Name]
+	if endpoint == nil || endpoint.Entry().Incarnation != entry.Incarnation {
+		return nil
+	}
+	return endpoint
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -27,6 +27,7 @@
 	"wisteriadrum/monitor"
 	"wisteriadrum/muter"
 	"wisteriadrum/pacer"
+	"wisteriadrum/permitter"
 	"wisteriadrum/pooler"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
@@ -106,8 +107,9 @@
 // Dependencies connect an instance to the outside.
 type Dependencies struct {
 	Translator translator.Translator
-	// Engines returns a client that calls observe with each answer.
-	Engines func(observe func(monitor.Entry, translator.Answer)) roller.EngineClient
+	// Engines returns a client that calls observe with each answer and when its call was
+	// made.
+	Engines func(observe func(monitor.Entry, translator.Answer, time.Time)) roller.EngineClient
 	Source  feeder.Store
 	Rows    tabler.Table
 	// PutRow writes the row of this instance, PeerRows reads the rows of all
@@ -139,6 +141,7 @@
 	sharer     *sharer.Sharer
 	roller     *roller.Roller
 	informer   *informer.Informer
+	permitter  *permitter.Permitter
 	archiver   *archiver.Archiver
 	feeders    []*feeder.Feeder
 	packetConn net.PacketConn
@@ -160,19 +163,20 @@
 	r.informer = informer.New(r.feeders, deps.Dial, deps.StoreNow, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
+	r.permitter = permitter.New(r.sharer.PermitHome, deps.Dial, count, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
 		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
-		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
+		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, TakePermit: r.permitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
 	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow, deps.StoreNow)
 	orderPause := time.Duration(options.OrderPauseMillis) * time.Millisecond
-	r.roller = roller.New(options.Name, state, deps.Engines(r.observe), lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
+	r.roller = roller.New(options.Name, state, r.engines(), lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
 	return r, nil
 }
 
@@ -198,7 +202,7 @@
 		}
 	}()
 	failed := make(chan error, 5)
-	go func() { failed <- r.informer.Serve(tables) }()
+	go func() { failed <- r.informer.Serve(tables, r.permitter.Register) }()
 	go func() { failed <- r.acceptor.Serve(callers) }()
 	go func() { failed <- r.probeServer().Serve(ready) }()
 	go func() { failed <- r.sharer.Listen() }()
@@ -283,15 +287,6 @@
 	r.log.Info("instance stopped", zap.Int("busy", r.acceptor.Busy()))
 }
 
-// observe applies what an endpoint says of itself in an answer to a call that is no
-// request.
-func (r *Runner) observe(entry monitor.Entry, answer translator.Answer) {
-	endpoint := r.registrar.Fleet().All()[entry.Name]
-	if endpoint != nil && endpoint.Entry().Incarnation == entry.Incarnation {
-		r.relayer.Observe(endpoint, answer)
-	}
-}
-
 // announceConfirmations announces to the other instances when the store has confirmed a
 // table.
 func (r *Runner) announceConfirmations(ctx context.Context, feed *feeder.Feeder) {
--- /dev/null
+++ b/sharer/home.go
@@ -0,0 +1,27 @@
+package sharer
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PermitHome returns the address of the instance that counts the requests to the endpoint
+// with a key, and whether it is this one: the first of the hubs by a hash of both, which
+// all hubs agree on. An instance that reports to a hub knows only that one, which asks on.
+func (s *Sharer) PermitHome(key uint64) (address string, local bool) {
+	s.mu.Lock()
+	if hub := s.peers[s.self.hub]; hub != nil {
+		defer s.mu.Unlock()
+		return hub.Address, false
+	}
+	s.mu.Unlock()
+	hubs := s.livePeers(func(peer *Peer) bool { return peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) })
+	home, best := s.self, uint64(0)
+	for _, hub := range hubs {
+		if score := xxhash.Sum64String(hub.Name + "\x00" + strconv.FormatUint(key, 16)); score >= best {
+			home, best = hub, score
+		}
+	}
+	return home.Address, home.Name == s.self.Name
+}
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -124,8 +124,17 @@
 	Key      uint64
 	// Leaving means that it leaves.
 	Leaving bool
+	// LimitMilli is the number of requests that it takes in 1,000 seconds, limitEnded if
+	// it has stopped naming a limit, 0 if the announcement is not about that.
+	LimitMilli int
 }
 
+// limitEnded is the limit of an endpoint that has stopped naming one.
+const limitEnded = -1
+
+// maxLimitMilli bounds a limit in a message.
+const maxLimitMilli = 1 << 40
+
 // newSaid returns what an endpoint has said of itself.
 func newSaid(endpoint *monitor.Monitor) said {
 	return said{Key: endpoint.Key, Leaving: endpoint.Said().Leaving()}
@@ -190,6 +199,11 @@
 			return err
 		}
 	}
+	for _, item := range m.Said {
+		if item.LimitMilli < limitEnded || item.LimitMilli > maxLimitMilli {
+			return eris.New("message has a limit of an endpoint out of range")
+		}
+	}
 	for _, p := range m.Parts {
 		if p.Tokens < 0 || p.Tokens > maxTokens {
 			return eris.New("message has a part with a token count out of range")
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -95,11 +95,22 @@
 	var changes []said
 	for _, item := range list {
 		endpoint := fleet.ByKey(item.Key)
-		if endpoint == nil || !item.Leaving {
+		if endpoint == nil {
 			continue
 		}
-		leaveBy := now.Add(time.Duration(s.lastUseMillis) * time.Millisecond)
-		if !endpoint.Said().Leaving() && endpoint.Hear(func(known restrainer.Restrainer) restrainer.Restrainer { return known.WithLeaving(leaveBy) }) {
+		changed := endpoint.Hear(func(known restrainer.Restrainer) restrainer.Restrainer {
+			if item.Leaving && !known.Leaving() {
+				known = known.WithLeaving(now.Add(time.Duration(s.lastUseMillis) * time.Millisecond))
+			}
+			switch {
+			case item.LimitMilli == limitEnded:
+				known = known.WithoutLimit(now)
+			case item.LimitMilli > 0:
+				known = known.WithLimit(float64(item.LimitMilli)/1000, now)
+			}
+			return known
+		})
+		if changed {
 			changes = append(changes, item)
 		}
 	}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -243,9 +243,16 @@
 	s.sendNow(events{suspects: suspects})
 }
 
-// AnnounceSaid sends at once what an endpoint has said of itself.
-func (s *Sharer) AnnounceSaid(endpoint *monitor.Monitor) {
-	s.sendNow(events{said: []said{newSaid(endpoint)}})
+// AnnounceSaid sends at once what an endpoint has said of itself. ended means that it has
+// stopped naming a limit.
+func (s *Sharer) AnnounceSaid(endpoint *monitor.Monitor, ended bool) {
+	item := newSaid(endpoint)
+	if perSecond, limited := endpoint.Said().Limit(); limited {
+		item.LimitMilli = min(max(1, int(perSecond*1000)), maxLimitMilli)
+	} else if ended {
+		item.LimitMilli = limitEnded
+	}
+	s.sendNow(events{said: []said{item}})
 }
 
 // AnnounceEmptied sends at once that a store has lost all parts.
--- a/translator/translator.go
+++ b/translator/translator.go
@@ -46,6 +46,10 @@
 	Sealed bool
 	// Leaving reports that the endpoint is about to leave.
 	Leaving bool
+	// Limited reports that the endpoint takes only LimitPerSecond requests a second from
+	// all instances.
+	Limited        bool
+	LimitPerSecond float64
 	// WaitMillis is how long the endpoint, which refused the request, wants no other
 	// from this instance, 0 if it did not say so.
 	WaitMillis int
