Do not take a refusal without an id for the answer on a kept connection

Callers here were told 'not run, try again' (503) for requests that were running, and such a request ran at a second endpoint.

Cause: an answer without an id was accepted if it was a refusal, as refusals promise that nothing has run. One with its own id was skipped, and bytes before the request are found before a connection is used again. On a connection that was used before, it is an answer to something else now: not a promise.

TestEarlierRefusalOnKeptConnection failed before (503; request has run 2 times).

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -193,7 +193,9 @@
 			sentAt = time.Time{}
 		}
 		r.Observe(a.endpoint, response, sentAt)
-		if response.RequestID == a.request.ID || response.RequestID == "" && (response.NotRun || response.WrongTarget) {
+		// On a connection that was used before, a refusal without an id may be an earlier one.
+		isRefusal := response.NotRun || response.WrongTarget
+		if response.RequestID == a.request.ID || response.RequestID == "" && isRefusal && !a.conn.Reused {
 			return head, response, nil
 		}
 		r.deps.Count.Add("answers", "stray")
