Break streams off that go on with something that is no stream

A 2xx without the type of a stream was relayed if it held a blank line, and one without any event ended the stream as complete.

Now such an answer counts as lost, and the stream goes on at a third endpoint or is broken off. A stream that had lost only its end may be broken off by this too: nothing tells it from one that lacks events. TestResumedStreamGetsNoStream failed before in five cases.

--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
@@ -30,6 +31,10 @@
 		a.endpoint.RecordFailure(r.deps.Now())
 		return false, refuser.New(refuser.AnswerMismatch, judge.MayHaveRun, "endpoint %s did not mark its answer", a.entry.Name)
 	}
+	if a.answer.Begun() && !isEventStream(head) {
+		a.endpoint.RecordFailure(r.deps.Now())
+		return false, refuser.New(refuser.AnswerMismatch, judge.MayHaveRun, "endpoint %s answered a resumed stream with %d %q", a.entry.Name, head.Status, head.Get("Content-Type"))
+	}
 	body := head.Body(a.conn.Reader)
 	var pending []byte
 	buffer := make([]byte, streamBufferBytes)
@@ -60,6 +65,11 @@
 	if len(pending) > 0 || head.Length == framer.UntilClose && !a.begun {
 		return false, r.connectionFailed(ctx, a, io.ErrUnexpectedEOF)
 	}
+	if a.answer.Begun() && !a.begun {
+		// Nothing tells whether events are missing.
+		a.endpoint.RecordFailure(r.deps.Now())
+		return false, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "endpoint %s sent no event of a resumed stream", a.entry.Name)
+	}
 	reusable := r.reusable(a, head, response, nil)
 	if !a.answer.Begun() {
 		a.answer.WriteAnswer(head.Status, endToEndFields(head), nil)
@@ -69,6 +79,12 @@
 	return reusable, r.deliveryRefusal(a)
 }
 
+// isEventStream reports whether an answer is a stream of events.
+func isEventStream(head *framer.Head) bool {
+	mediaType, _, err := mime.ParseMediaType(head.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && head.Status == 200
+}
+
 // relayEvents relays complete events, except those that the caller already has.
 func (r *Relayer) relayEvents(a *attempt, head *framer.Head, data []byte) {
 	r.recordBegin(a)
