Send nothing to endpoints that want no requests, in the own interface too

The decision is that of the platform's interface (restrainer, forecaster): an endpoint that refuses with Retry-After gets nothing until then, also as the last one of its pool, and callers learn when one takes requests again. It holds for its incarnation. TestEndpointWantsNoRequests (tracker) and TestWaitsOfRefusals fail without it. Leaves were known here by reports, limits have no header in this protocol.

--- a/answerer/answer.go
+++ b/answerer/answer.go
@@ -24,6 +24,9 @@
 	QueueBytes int
 	// Refused means that the endpoint reported that it did not run the request.
 	Refused bool
+	// WaitMillis is how long an endpoint that refused wants no requests, 0 if it did not
+	// say so.
+	WaitMillis int
 	// Reason is the endpoint's reason for a refusal.
 	Reason string
 	// Length is the size of the body in bytes, -1 for a chunked one, or UntilClose.
--- a/chooser/policy.go
+++ b/chooser/policy.go
@@ -57,6 +57,6 @@
 
 // Usable reports whether track may be chosen for q.
 func (q Query) Usable(track *tracker.Track) bool {
-	available := track.Available(q.Now) || q.IgnoreBackoff && !track.Leaving()
+	available := track.Available(q.Now) || q.IgnoreBackoff && !track.Leaving() && !track.HeldUntil().After(q.Now)
 	return available && (q.Excluded == nil || !q.Excluded(track))
 }
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -62,6 +62,23 @@
 	}
 }
 
+// Guards against a refusal whose wait is lost or taken from an answer that is none, and
+// against waits out of range.
+func TestWaitsOfRefusals(t *testing.T) {
+	for fields, want := range map[string]int{
+		"X-Verdict: not-run\r\nRetry-After: 1.5\r\n": 1500, "X-Verdict: not-run\r\nRetry-After: -1\r\n": 0, "X-Verdict: not-run\r\nRetry-After: Fri\r\n": 0,
+		"X-Verdict: not-run\r\nRetry-After: NaN\r\n": 0, "X-Verdict: not-run\r\nRetry-After: 1e300\r\n": 24 * 60 * 60 * 1000, "Retry-After: 2\r\n": 0,
+	} {
+		address := serve(t, "HTTP/1.1 503 X\r\n"+fields+"Content-Length: 0\r\n\r\n", keeps)
+		d := dialer.New(func(address string) (net.Conn, error) { return net.Dial("tcp", address) }, time.Now)
+		deadline := time.Now().Add(5 * time.Second)
+		answer, err := d.Send(caller.Call{Address: address, Method: "GET", Path: "/", FirstByteDeadline: deadline, IdleDeadline: func(time.Time) time.Time { return deadline }})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.WaitMillis, want, fields)
+		answer.Close(false)
+	}
+}
+
 // Guards against an answer that is taken for complete though its connection was lost,
 // and against a connection that is reused though its answer ends with it.
 func TestEndsOfAnswers(t *testing.T) {
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -37,11 +37,16 @@
 	HeaderVerdict        = "X-Verdict"
 	HeaderReason         = "X-Reason"
 	HeaderLastEventID    = "Last-Event-ID"
+	// HeaderRetryAfter is the number of seconds for which an endpoint that refused wants
+	// no requests.
+	HeaderRetryAfter = "Retry-After"
 )
 
 const (
 	loadTimeout  = time.Second
 	maxLoadBytes = 1 << 16
+	// maxWaitSeconds bounds the time for which an endpoint may want no requests.
+	maxWaitSeconds = 24 * 60 * 60
 	// reusedConnTimeout limits the wait for an answer's header on a reused
 	// connection, because such a connection may have failed without an error.
 	reusedConnTimeout = 400 * time.Millisecond
@@ -190,6 +195,9 @@
 		Reason:      string(head.Peek(HeaderReason)),
 		Length:      head.ContentLength(),
 	}
+	if seconds, err := strconv.ParseFloat(string(head.Peek(HeaderRetryAfter)), 64); err == nil && answer.Refused && seconds > 0 {
+		answer.WaitMillis = int(min(seconds, maxWaitSeconds) * 1000)
+	}
 	if response.SkipBody || answer.Status == fasthttp.StatusNoContent || answer.Status == fasthttp.StatusNotModified {
 		answer.Length = 0 // no body, whatever length the head gives
 	}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -10,6 +10,7 @@
 	"wisteriadrum/chooser"
 	"wisteriadrum/counter"
 	"wisteriadrum/delegator"
+	"wisteriadrum/forecaster"
 	"wisteriadrum/grouper"
 	"wisteriadrum/judge"
 	"wisteriadrum/keeper"
@@ -19,6 +20,7 @@
 	"wisteriadrum/refresher"
 	"wisteriadrum/refuser"
 	"wisteriadrum/resolver"
+	"wisteriadrum/restrainer"
 	"wisteriadrum/tracker"
 )
 
@@ -78,12 +80,28 @@
 		choice = p.choose(query, request, tracks, isSuspect)
 	}
 	if choice.Track == nil {
-		return choice, refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s can take the request", request.Route.Pool).WithRetryAt(now.Add(noEndpointRetryAfter))
+		return choice, refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s can take the request", request.Route.Pool).WithRetryAt(retryAt(tracks, now))
 	}
 	p.count.Add("choice", choice.Reason)
 	return choice, nil
 }
 
+// retryAt returns when a caller may return for which there is no endpoint: when the first
+// of those that want no requests now wants them again, or after the default delay if all
+// others are unavailable for another reason.
+func retryAt(tracks []*tracker.Track, now time.Time) time.Time {
+	forecast := forecaster.New()
+	for _, track := range tracks {
+		if heldUntil := track.HeldUntil(); heldUntil.After(now) && !track.Leaving() {
+			forecast = forecast.WithOpening(heldUntil, 0)
+		}
+	}
+	if at, known := forecast.When(0); known {
+		return at
+	}
+	return now.Add(noEndpointRetryAfter)
+}
+
 // RecordCached passes the number of prompt bytes that the endpoint found in its
 // cache to the policy. A negative number means that it is not known.
 func (p *Picker) RecordCached(request *resolver.Request, choice chooser.Choice, cached int) {
@@ -100,6 +118,11 @@
 		track.ApplyAnswer(answer.Incarnation, answer.Weights, answer.QueueBytes, now, p.cacheMap.NewSlot)
 	}
 	track.RecordSuccess()
+	if answer.WaitMillis > 0 {
+		waitUntil := now.Add(time.Duration(answer.WaitMillis) * time.Millisecond)
+		track.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithWait(waitUntil) })
+		p.count.Add("endpoints", "waiting")
+	}
 	if answer.Refused || request.Chain.Depth() == 0 {
 		return
 	}
--- a/tracker/track.go
+++ b/tracker/track.go
@@ -8,7 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"wisteriadrum/holder"
 	"wisteriadrum/reporter"
+	"wisteriadrum/restrainer"
 	"wisteriadrum/worker"
 )
 
@@ -28,6 +30,7 @@
 	failures     atomic.Int64 // since the last success
 	failedProbes atomic.Int64 // since the last report
 	stopped      atomic.Bool
+	said         holder.Value[restrainer.Restrainer]
 	view         atomic.Pointer[View]
 	viewMu       sync.Mutex // held while view is replaced
 }
@@ -107,6 +110,7 @@
 	next := &View{Report: report, ReportedAt: now, Slot: current.Slot, sentAtReport: t.sentBytes.Load()}
 	if report.Incarnation != current.Incarnation {
 		next.Slot = newSlot(t)
+		t.said.Store(restrainer.Restrainer{})
 	}
 	t.view.Store(next)
 }
@@ -138,6 +142,12 @@
 	return int(t.failedProbes.Add(1))
 }
 
+// Hear changes what the endpoint has said of itself.
+func (t *Track) Hear(change func(restrainer.Restrainer) restrainer.Restrainer) { t.said.Update(change) }
+
+// HeldUntil returns until when the endpoint wants no requests, in the past if it does.
+func (t *Track) HeldUntil() time.Time { return t.said.Load().HeldUntil() }
+
 // AvoidUntil keeps the endpoint in backoff until the given time.
 func (t *Track) AvoidUntil(until time.Time) { t.backoffUntil.Store(until.UnixNano()) }
 
@@ -161,7 +171,7 @@
 }
 
 // Available reports whether the endpoint may get new requests at now: it is
-// neither leaving nor in backoff.
+// neither leaving nor in backoff and wants requests.
 func (t *Track) Available(now time.Time) bool {
-	return !t.Leaving() && t.backoffUntil.Load() <= now.UnixNano()
+	return !t.Leaving() && !t.HeldUntil().After(now) && t.backoffUntil.Load() <= now.UnixNano()
 }
--- a/tracker/track_test.go
+++ b/tracker/track_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"wisteriadrum/chooser"
 	"wisteriadrum/reporter"
+	"wisteriadrum/restrainer"
 	"wisteriadrum/tracker"
 	"wisteriadrum/worker"
 )
@@ -29,6 +31,27 @@
 	assert.Equal(t, track.View(), latest, "a late report must not change the view")
 }
 
+// Guards against requests to an endpoint that wants none, and against a wait that outlives
+// the incarnation that asked for it.
+func TestEndpointWantsNoRequests(t *testing.T) {
+	track := tracker.New(worker.Endpoint{Name: "e"}, true)
+	now := time.Unix(1000, 0)
+	newSlot := func(*tracker.Track) uint16 { return 1 }
+	track.ApplyReport(reporter.Report{Incarnation: "one"}, now, newSlot)
+	waitUntil := now.Add(3 * time.Second)
+	track.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithWait(waitUntil) })
+	track.RecordSuccess()
+	assert.Assert(t, !track.Available(now.Add(2999*time.Millisecond)) && track.Available(waitUntil))
+	for ignoreBackoff, usableAt := range map[bool]time.Time{false: waitUntil, true: waitUntil} {
+		query := chooser.Query{Now: now, IgnoreBackoff: ignoreBackoff}
+		assert.Assert(t, !query.Usable(track))
+		query.Now = usableAt
+		assert.Assert(t, query.Usable(track))
+	}
+	track.ApplyReport(reporter.Report{Incarnation: "two"}, now.Add(time.Second), newSlot)
+	assert.Assert(t, track.Available(now.Add(time.Second)))
+}
+
 func TestQueueDrainsAndGrows(t *testing.T) {
 	const nanosPerByte = 1000
 	track := tracker.New(worker.Endpoint{Name: "e"}, true)
