Let instances return as told in the test of permits

TestPermitsOfAllInstances failed once (an instance got no permit in 2 s). It asked every 10 ms whatever it was told, so that the same instance could always be first when a permit came free. Turns hold for instances that return as they are told, as all do.

--- a/feeder/confirm.go
+++ b/feeder/confirm.go
@@ -108,8 +108,8 @@
 	return repeater.New(call, f.repeatMillis).Run(callCtx)
 }
 
-// applyCheck applies the changes that were unknown at the time begun. They were made since
-// the table was complete, and the watch in progress has not delivered them.
+// applyCheck applies the answer to a check that began at a time. Its changes were made
+// since the table was complete, and neither a watch nor another instance has sent them.
 func (f *Feeder) applyCheck(page Page, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,7 +117,7 @@
 	if page.Version > f.newest {
 		if len(page.Rows) > 0 {
 			f.count.Add("store", "missed")
-			f.log.Info("watch has not delivered changes", zap.String("table", f.table), zap.Uint64("version", page.Version))
+			f.log.Info("changes had not arrived", zap.String("table", f.table), zap.Uint64("version", page.Version))
 			f.dropWatch()
 		}
 		page.Age = max(page.Age, time.Since(f.confirm.CompleteAt()))
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -49,24 +49,6 @@
 	return &Permitter{home: home, dial: dial, count: count, now: now, rationers: map[uint64]rationer.Rationer{}, clients: map[string]*rpc.Client{}}
 }
 
-// Ask is a request for a permit, sent between instances.
-type Ask struct {
-	Key uint64
-	// PerSecond is the number of requests that the endpoint takes a second.
-	PerSecond float64
-	// Called means that a call was made that needs no permit but counts.
-	Called bool
-	// Hops is the number of instances that have forwarded the request.
-	Hops int
-}
-
-// Answer is the answer to an Ask.
-type Answer struct {
-	Granted bool
-	// WaitMillis is after how many milliseconds to ask again.
-	WaitMillis int64
-}
-
 // errMalformed means that a request holds a rate that is no rate.
 var errMalformed = errors.New("request for a permit holds a rate out of range")
 
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -78,10 +78,12 @@
 	for name, member := range f.members {
 		group.Go(func() {
 			for begun := time.Now(); time.Since(begun) < seconds*time.Second; time.Sleep(10 * time.Millisecond) {
-				if ok, _ := member.Take(7, perSecond); ok {
+				ok, retryAt := member.Take(7, perSecond)
+				if ok {
 					count, _ := granted.LoadOrStore(name, 0)
 					granted.Store(name, count.(int)+1)
 				}
+				time.Sleep(time.Until(retryAt))
 			}
 		})
 	}
@@ -92,7 +94,7 @@
 		assert.Assert(t, count.(int) > 0, "%s got no permit", name)
 		total += count.(int)
 	}
-	assert.Assert(t, total <= perSecond*seconds+perSecond+1, "%d permits", total)
+	assert.Assert(t, total <= perSecond*seconds+perSecond+1 && total >= perSecond*seconds/2, "%d permits", total)
 	ok, _ := f.members["b"].Take(8, perSecond)
 	assert.Assert(t, ok)
 }
