Free the place of an order that is not answered, and send it again

Cause: a place in the rollout bounds the engines that are out of service, and was held by engines that served. An order that is not answered within 0.5 s frees its place now; the engine takes one again when it reports that it is busy. The order is sent again every 1.5 s, as it may be lost or late: the engine executes one of them, since each demands the number of orders before it.

--- a/roller/plan.go
+++ b/roller/plan.go
@@ -30,8 +30,8 @@
 
 // Rollout is the state of the rollout of a version to the engines of a model.
 type Rollout struct {
-	// Engines is the number of engines, Updating that of those being updated, and
-	// Outdated that of those with older weights, including those being updated.
+	// Engines is the number of engines, Updating that of those out of service to be
+	// updated, and Outdated that of those with older weights, including these.
 	Engines, Updating, Outdated int
 	// Candidates are the engines that can be ordered now.
 	Candidates []OutdatedEngine
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -25,6 +25,8 @@
 	// idleInterval is the interval of rounds while no engine is outdated.
 	idleInterval = time.Second
 	callTimeout  = time.Second
+	// orderTimeout is the time after which an order counts as not answered.
+	orderTimeout = 500 * time.Millisecond
 	// loadTimeout is how long an engine is assumed to load weights unless it
 	// reports that it is still busy.
 	loadTimeout = 3 * time.Second
@@ -116,7 +118,9 @@
 	stopped   bool
 	lastOrder time.Time
 	mu        sync.Mutex
-	updating  map[uint64]bool
+	// updating holds the engines that are being updated, and whether they are out of
+	// service for that.
+	updating map[uint64]bool
 	// failures counts the updates of an engine that failed since one succeeded.
 	failures map[uint64]int
 	// updateMillis is a moving average of the time that an update took.
@@ -242,7 +246,7 @@
 func (r *Roller) rollout(t task) Rollout {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Rollout{Engines: t.engines, Updating: len(r.updating), Outdated: t.outdated, Candidates: t.candidates, OlderUntil: t.olderUntil, UpdateMillis: r.updateMillis}
+	return Rollout{Engines: t.engines, Updating: r.outOfService(), Outdated: t.outdated, Candidates: t.candidates, OlderUntil: t.olderUntil, UpdateMillis: r.updateMillis}
 }
 
 // failureCount returns the number of updates of an engine that failed since one
@@ -258,5 +262,6 @@
 func (r *Roller) isUnavailable(key uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.updating[key] || r.retryAt[key].After(r.now())
+	_, updating := r.updating[key]
+	return updating || r.retryAt[key].After(r.now())
 }
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -53,8 +53,10 @@
 	maxLoading   int
 	// loadTime is how long an engine loads weights.
 	loadTime time.Duration
-	// unanswered makes the engines answer no order and never execute it.
-	unanswered bool
+	// unanswered makes the engines answer no order and never execute it, or only after
+	// executeAfter if that is not 0.
+	unanswered   bool
+	executeAfter time.Duration
 }
 
 func newFleet() *fleet {
@@ -84,8 +86,20 @@
 	defer c.mu.Unlock()
 	c.orders = append(c.orders, receivedOrder{holder: c.holder, engine: engine.Name, order: order, at: time.Now()})
 	if c.unanswered {
+		if c.executeAfter > 0 {
+			time.AfterFunc(c.executeAfter, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				_ = c.execute(engine, order)
+			})
+		}
 		return roller.ErrOutcomeUnknown
 	}
+	return c.execute(engine, order)
+}
+
+// execute executes an order. The caller holds the lock.
+func (c engineClient) execute(engine monitor.Entry, order roller.Order) error {
 	if c.busy[engine.Name] || c.accepted[engine.Name] != order.ExpectedOrders {
 		return roller.ErrBusy
 	}
@@ -288,6 +302,27 @@
 	})
 }
 
+// Guards against orders that are executed late and keep all other engines waiting, and
+// against an engine that executes an order twice since that is sent again.
+func TestOrdersExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		engines := newFleet()
+		engines.unanswered, engines.executeAfter = true, 5*time.Second
+		_, state := instance(ctx, t, "a", engines, emulator.New(time.Now).Table())
+		state.AddVersion("m", announced(2))
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, engines.outdated(2), 0)
+		time.Sleep(20 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		for name, accepted := range engines.accepted {
+			assert.Equal(t, accepted, 1, name)
+		}
+	})
+}
+
 // Guards against orders to an engine that wants no calls for a time, and against an engine
 // that gets none afterwards.
 func TestOrdersToWaitingEngine(t *testing.T) {
--- a/roller/update.go
+++ b/roller/update.go
@@ -14,9 +14,7 @@
 
 // startUpdate updates an engine concurrently with the following rounds.
 func (r *Roller) startUpdate(ctx context.Context, endpoint *monitor.Monitor, t task) {
-	r.mu.Lock()
-	r.updating[endpoint.Key] = true
-	r.mu.Unlock()
+	r.setOutOfService(endpoint.Key, true)
 	go func() {
 		startedAt := r.now()
 		r.update(ctx, endpoint, t)
@@ -65,7 +63,11 @@
 		r.count.Add("orders", "fenced")
 		r.held.Store(leaser.Lease{})
 		return
-	case err != nil && !errors.Is(err, ErrOutcomeUnknown) && !errors.Is(err, ErrBusy):
+	case errors.Is(err, ErrOutcomeUnknown):
+		r.count.Add("orders", "unanswered")
+		r.awaitUnanswered(ctx, endpoint, t, report.AcceptedOrders)
+		return
+	case err != nil && !errors.Is(err, ErrBusy):
 		r.count.Add("orders", "refused")
 		return
 	}
@@ -89,7 +91,7 @@
 	r.mu.Lock()
 	r.lastOrder = r.now()
 	r.mu.Unlock()
-	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	limit, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return order, r.engines.Order(limit, endpoint.Entry(), order)
 }
