--- a/sharer/home.go
+++ b/sharer/home.go
@@ -15,9 +15,9 @@
 		defer s.mu.Unlock()
 		return hub.Address, false
 	}
+	home, best := s.self, uint64(0)
 	s.mu.Unlock()
 	hubs := s.livePeers(func(peer *Peer) bool { return peer.flags.has(flagHub) && !peer.flags.has(flagLeaving) })
-	home, best := s.self, uint64(0)
 	for _, hub := range hubs {
 		if score := xxhash.Sum64String(hub.Name + "\x00" + strconv.FormatUint(key, 16)); score >= best {
 			home, best = hub, score
