--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -1,6 +1,7 @@
 package sharer_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -257,6 +258,7 @@
 	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}, []any{[]any{1, "p", 0, 1, false, time.Unix(1000, 0)}}, []any{[]any{1, true, 5000}}})
 	assert.NilError(f, err)
 	f.Add(data)
+	f.Add(bytes.Replace(data, []byte{0x91, 0x94, 1, 2, 3, 4}, []byte{0xdd, 0xff, 0xff, 0xff, 0xff}, 1)) // 4 billion loads
 	f.Fuzz(func(_ *testing.T, data []byte) { sharer.Check(data) })
 }
 
