--- /dev/null
+++ b/monitor/said.go
@@ -0,0 +1,63 @@
+package monitor
+
+import (
+	"time"
+
+	"wisteriadrum/restrainer"
+)
+
+// MarkLeaving records that the endpoint leaves and must get no requests from
+// deadline on. The deadline of an earlier call stands.
+func (m *Monitor) MarkLeaving(deadline time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leavingUntil.IsZero() {
+		m.leavingUntil = deadline
+	}
+}
+
+// ClearLeaving reverts MarkLeaving for an endpoint that is listed again.
+func (m *Monitor) ClearLeaving() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leavingUntil = time.Time{}
+}
+
+// Left reports whether the endpoint has left and must get no requests at now.
+func (m *Monitor) Left(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.left(now)
+}
+
+func (m *Monitor) left(now time.Time) bool {
+	return !m.leavingUntil.IsZero() && !now.Before(m.leavingUntil) || m.said.Left(now)
+}
+
+// Forgettable reports whether the endpoint is not listed any more since a time before
+// now, and what it has said of itself does not matter if it is listed again.
+func (m *Monitor) Forgettable(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leftAt := m.leavingUntil
+	if _, limited := m.said.Limit(); limited || m.said.Leaving() || m.said.WaitUntil().After(now) {
+		return !leftAt.IsZero() && leftAt.Before(now.Add(-saidRetention))
+	}
+	return !leftAt.IsZero() && !now.Add(-departedRetention).Before(leftAt)
+}
+
+// Said returns what the endpoint has said of itself.
+func (m *Monitor) Said() restrainer.Restrainer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.said
+}
+
+// Hear changes what the endpoint has said of itself, and reports whether that is new.
+func (m *Monitor) Hear(change func(restrainer.Restrainer) restrainer.Restrainer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.said
+	m.said = change(before)
+	return m.said != before
+}
