--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -31,8 +31,8 @@
 // Permitter asks for permits, and grants them for the endpoints whose home this instance
 // is.
 type Permitter struct {
-	// home returns the address of the home of an endpoint, or of an instance that knows
-	// it, and whether it is this instance.
+	// home returns the address of the instance to ask about an endpoint, which is its home
+	// or forwards the request, and whether this instance is the home.
 	home  func(key uint64) (address string, local bool)
 	dial  func(address string) (net.Conn, error)
 	count *counter.Counter
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -66,7 +66,7 @@
 		return false, r.connectionFailed(ctx, a, io.ErrUnexpectedEOF)
 	}
 	if a.answer.Begun() && !a.begun {
-		// Nothing tells whether events are missing.
+		// An empty stream may lack events or only its end; both look the same.
 		a.endpoint.RecordFailure(r.deps.Now())
 		return false, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "endpoint %s sent no event of a resumed stream", a.entry.Name)
 	}
--- a/sharer/home.go
+++ b/sharer/home.go
@@ -7,8 +7,8 @@
 )
 
 // PermitHome returns the address of the instance that counts the requests to the endpoint
-// with a key, and whether it is this one: the first of the hubs by a hash of both, which
-// all hubs agree on. An instance that reports to a hub knows only that one, which asks on.
+// with a key, and whether it is this one: the live hub with the highest hash of both names.
+// An instance that reports to a hub gets the address of that hub, which forwards requests.
 func (s *Sharer) PermitHome(key uint64) (address string, local bool) {
 	s.mu.Lock()
 	if hub := s.peers[s.self.hub]; hub != nil {
