Divide the cached parts among all stores of KV cache

Cause: parts were saved to the first store of the configuration only. Where there are three, one evicted what the others had room for, and one link carried all transfers.

Each first part has a home among the stores now, by rendezvous hashing, unless one holds it already.

--- a/relayer/parts.go
+++ b/relayer/parts.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wisteriadrum/monitor"
+	"wisteriadrum/ranker"
 )
 
 const (
@@ -44,19 +47,28 @@
 }
 
 // storeToSave returns the store that the endpoint saves the parts to after
-// prefill, or nil. It is the first store, if the prompt begins with a long
-// shared part that the store does not hold yet. The last part of a prompt
-// belongs to this request only, so at least two parts are required.
+// prefill, or nil if the prompt does not begin with a long shared part or a store holds
+// that already. The stores divide the first parts among them by rendezvous hashing. The
+// last part of a prompt belongs to this request only, so at least two parts are required.
 func (r *Relayer) storeToSave(a *attempt) *monitor.Monitor {
 	stores := r.stores(a.request)
 	parts := a.request.Parts
 	if len(stores) == 0 || len(parts) < 2 || parts[0].Tokens < minSavedTokens || a.weights < r.deps.Registrar.Versions(a.request.Model).Newest() {
 		return nil
 	}
-	if cached, _ := stores[0].HasPart(partKey(a.request, a.weights, parts[0])); cached {
-		return nil
+	first := partKey(a.request, a.weights, parts[0])
+	var home *monitor.Monitor
+	var homeScore uint64
+	for _, store := range stores {
+		if cached, _ := store.HasPart(first); cached {
+			return nil
+		}
+		score := ranker.Rank(first, xxhash.Sum64String(store.Entry().Name))
+		if home == nil || score > homeScore {
+			home, homeScore = store, score
+		}
 	}
-	return stores[0]
+	return home
 }
 
 // beginTransfer counts the tokens to fetch as queued on the store's link.
