Count a transfer at a store's link only while it lasts

Cause: the tokens of a fetch counted as queued at the store's link until the engine sent its first event, which takes ten and more times as long as the transfer at a busy engine. So the link looked occupied while it was idle, and the parts were read anew, which made the engines busier still.

A transfer ends now when its predicted time has passed, at the first event at the latest.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -118,6 +118,9 @@
 	// PrefillTokens is the number of prompt tokens that the endpoint has to
 	// prefill.
 	PrefillTokens int
+	// FetchMillis is the predicted time to fetch parts from the source, the wait for
+	// earlier transfers included.
+	FetchMillis float64
 	// Cost is PredictedMillis plus penalties; the candidate with the lowest
 	// cost wins.
 	Cost float64
@@ -210,6 +213,7 @@
 	}
 	choice.UnscaledMillis = baseLatencyMillis + float64(view.Load.PrefillTokens+choice.PrefillTokens)/prefillTokensPerMilli + perRequestMillis*float64(view.Load.Requests)
 	choice.PredictedMillis = choice.UnscaledMillis*view.LatencyRatio + fetchMillis + capacityWaitMillis(requirements, view)
+	choice.FetchMillis = fetchMillis
 	choice.Cost = choice.PredictedMillis + penaltyMillis(requirements, view)
 	choice.Full = saturated(requirements, view)
 	return choice
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -48,8 +48,8 @@
 	// saveStore is the store to which the endpoint saves the cached parts, or
 	// nil.
 	saveStore *monitor.Monitor
-	// transfer is the load counted on the store that parts are fetched from.
-	transfer monitor.Load
+	// endTransfer ends the load counted on the store that parts are fetched from.
+	endTransfer func()
 	// lastProgress is when data for this request last arrived, in nanoseconds
 	// since sentAt. abandoned is set when the silence exceeds silenceLimit.
 	lastProgress atomic.Int64
@@ -63,7 +63,7 @@
 // runAttempt sends the request to the chosen endpoint and relays the answer.
 func (r *Relayer) runAttempt(ctx context.Context, e *exchange) *refuser.Refusal {
 	e.loss = nil
-	a := &attempt{exchange: e, entry: e.endpoint.Entry(), prefillTokens: e.choice.PrefillTokens}
+	a := &attempt{exchange: e, entry: e.endpoint.Entry(), prefillTokens: e.choice.PrefillTokens, endTransfer: func() {}}
 	if e.request.Model != "" {
 		a.weights = e.endpoint.Weights(e.request.Model)
 	}
@@ -75,7 +75,7 @@
 		r.announceParts(a, false)
 		defer a.dropPendingParts()
 		a.beginTransfer(r.deps.Now())
-		defer a.endTransfer()
+		defer func() { a.endTransfer() }()
 	}
 	conn, err := r.deps.Pool.Get(a.entry.Address, false)
 	if err != nil {
--- a/relayer/parts.go
+++ b/relayer/parts.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,14 +77,11 @@
 	if a.source == nil || a.source.Entry().Pool != "" {
 		return
 	}
-	a.transfer = monitor.Load{Requests: 1, PrefillTokens: a.request.PromptTokens - a.choice.PrefillTokens}
-	a.source.Begin(a.transfer, now)
-}
-
-// endTransfer reverts what beginTransfer counted.
-func (a *attempt) endTransfer() {
-	if a.transfer != (monitor.Load{}) {
-		a.source.End(a.transfer)
-		a.transfer = monitor.Load{}
-	}
+	transfer := monitor.Load{Requests: 1, PrefillTokens: a.request.PromptTokens - a.choice.PrefillTokens}
+	source := a.source
+	source.Begin(transfer, now)
+	a.endTransfer = sync.OnceFunc(func() { source.End(transfer) })
+	// The link is free again after the transfer, long before the first event if the
+	// engine is busy.
+	time.AfterFunc(time.Duration(a.choice.FetchMillis*float64(time.Millisecond)), a.endTransfer)
 }
