Take answers of services without a length for whole if they end cleanly

Callers of the own interface got 502 answer-lost for an answer with neither a length nor chunks, though the same answer is relayed on the platform's interface and its connection had ended cleanly. The attempter refused every such answer, as a service that crashes may end its connection in the same way. Framing does not tell the two apart, a reset does.

Streams need no change: they end with their closing event (TestEndsOfStreams).

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -120,16 +120,14 @@
 	return a.readAnswer(track, answer)
 }
 
-// readAnswer reads the complete answer. It returns an error if the endpoint refused
-// the request or the answer is truncated or too large.
+// readAnswer reads the complete answer, which ends with its connection if it has no
+// length. It returns an error if the endpoint refused the request or the answer is
+// truncated or too large.
 func (a *Attempter) readAnswer(track *tracker.Track, answer *answerer.Answer) (recorder.Answer, error) {
 	defer answer.Close(false)
 	if answer.Refused {
 		return recorder.Answer{}, refuser.New(refuser.UpstreamBusy, judge.NotRun, "endpoint %s: %s", track.Endpoint.Name, answer.Reason)
 	}
-	if answer.Length == answerer.UntilClose {
-		return recorder.Answer{}, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "endpoint %s did not say how long its answer is", track.Endpoint.Name)
-	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err != nil || answer.Length > len(body) {
 		return recorder.Answer{}, refuser.New(refuser.AnswerLost, judge.MayHaveRun, "the answer of endpoint %s was cut: %v", track.Endpoint.Name, err)
