Reject answers that switch protocols

An endpoint's 101 ended the search for the final head and was taken for an answer until the end of its connection, though no request is sent on with Upgrade. It was found by reading, with no caller that saw it; the own interface refused such answers until it took those without a length. The test of heads failed before the change.

--- a/framer/head.go
+++ b/framer/head.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"errors"
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -80,7 +81,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if head.Status < 200 && head.Status != 101 {
+		if head.Status == http.StatusSwitchingProtocols {
+			return nil, ErrMalformed // no request asks for another protocol
+		}
+		if head.Status < http.StatusOK {
 			continue
 		}
 		if method == "HEAD" || head.Status == 204 || head.Status == 304 {
--- a/framer/head_test.go
+++ b/framer/head_test.go
@@ -87,6 +87,7 @@
 	for name, text := range map[string]string{
 		"no version":     "garbage without a version\r\n\r\n",
 		"chunked in 1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"switched":       "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 		"two framings":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
 	} {
 		_, err := framer.ReadResponse(read(text), headLimit, "GET")
