Answer everything on the platform within the grace period of a planned stop

Callers of an instance that stopped lost their connections without an answer, and some of these requests had been sent to an endpoint after the signal, also ones that must not run twice. The instance accepts connections until the load balancer has noticed, and each request had its whole time limit, while the process ended with the grace period whatever was in progress.

A request that is sent after the signal, or again, now ends by the grace period less an eighth for its answer. One that must not run twice needs all its time before that, any other its latency target; it is refused with 503 and Retry-After otherwise, unsent, and its connection closed. What is still in progress at that instant is ended: with 502 or 504, or, once a stream has begun, with a reset, so that it does not look complete. The instance leaves with the last sixteenth of the grace period, so that it can still give up its lease, for which no time was left before. package drainer decides, without network.

Both tests of stops failed before the change: no answer at the end of the instance, and 504 in place of 503. Ruled out: requests that are read after the listener is closed, which are not passed on (TestNoRequestLongAfterStop).

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -99,7 +99,7 @@
 // the connection can be reused.
 func (r *Relayer) sendAndReceive(ctx context.Context, a *attempt) (bool, *refuser.Refusal) {
 	if ctx.Err() != nil {
-		return false, refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
+		return false, endedRefusal(ctx, judge.NotRun)
 	}
 	if err := a.conn.SetDeadline(a.deadline); err != nil {
 		return false, refuser.New(refuser.UpstreamLost, judge.NotRun, "endpoint %s: %s", a.entry.Name, err)
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -93,7 +93,7 @@
 // completely.
 func (r *Relayer) connectionFailed(ctx context.Context, a *attempt, err error) *refuser.Refusal {
 	if ctx.Err() != nil {
-		return refuser.New(refuser.CallerGone, judge.MayHaveRun, "the caller left")
+		return endedRefusal(ctx, judge.MayHaveRun)
 	}
 	now := r.deps.Now()
 	var timeout net.Error
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -40,6 +40,9 @@
 	}
 	for pacer.Wait(ctx, pacer.Jitter(roomCheckInterval)) {
 		now := r.deps.Now()
+		if refusal := r.admit(e); refusal != nil {
+			return refusal
+		}
 		if !now.Before(giveUpAt) {
 			return refuser.New(refuser.Overloaded, judge.NotRun, "no endpoint had room for %d ms", now.Sub(startedAt).Milliseconds()).WithRetryAt(r.retryAt(e.request.Pool.Name, now))
 		}
@@ -54,7 +57,7 @@
 			return refusal
 		}
 	}
-	return refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
+	return endedRefusal(ctx, judge.NotRun)
 }
 
 // place chooses an endpoint, and takes a permit if that has named a limit. behind means
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
 	"wisteriadrum/detector"
+	"wisteriadrum/drainer"
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
@@ -61,6 +63,11 @@
 	// watchStarted receives a value when an attempt is added to watched.
 	watchStarted chan struct{}
 	instances    int
+	// terms are those of a planned stop, nil before it.
+	terms atomic.Pointer[drainer.Drainer]
+	// aborted ends when the requests in progress are to end, which abort causes.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // Dependencies are the collaborators and settings of a relayer.
@@ -114,8 +121,9 @@
 
 // New returns a relayer.
 func New(deps Dependencies) *Relayer {
+	aborted, abort := context.WithCancel(context.Background())
 	return &Relayer{
-		deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[queueKey]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
+		aborted: aborted, abort: abort, deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[queueKey]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
 	}
 }
 
@@ -192,6 +200,8 @@
 func (r *Relayer) Run(ctx context.Context, request *requester.Request, answer *responder.Responder) *refuser.Refusal {
 	e := &exchange{request: request, answer: answer, deadline: request.EffectiveDeadline(), lastEventID: request.LastEventID}
 	r.budget(request.Pool.Name).RecordRequest()
+	ctx, release := r.withAbort(ctx)
+	defer release()
 	refusal := r.relay(ctx, e)
 	r.recordEnd(e, refusal)
 	return refusal
@@ -231,7 +241,10 @@
 func (r *Relayer) prepareAttempt(ctx context.Context, e *exchange, ran judge.Verdict) *refuser.Refusal {
 	now := r.deps.Now()
 	if ctx.Err() != nil {
-		return refuser.New(refuser.CallerGone, ran, "the caller left")
+		return endedRefusal(ctx, ran)
+	}
+	if refusal := r.admit(e); refusal != nil {
+		return refusal
 	}
 	if !now.Add(answerMargin).Before(e.deadline) {
 		return refuser.New(refuser.Timeout, ran, "no time is left")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -20,6 +20,7 @@
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
 	"wisteriadrum/detector"
+	"wisteriadrum/drainer"
 	"wisteriadrum/exposer"
 	"wisteriadrum/feeder"
 	"wisteriadrum/informer"
@@ -45,8 +46,6 @@
 	// Connections that are accepted later may be cut at the end of the grace
 	// period.
 	balancerWait = 2500 * time.Millisecond
-	// graceMargin is the reserve before the end of the grace period.
-	graceMargin = 700 * time.Millisecond
 	// budgetInterval is the interval at which retry budgets are divided anew.
 	budgetInterval = time.Second
 	// discoveryInterval is the interval between reads of the instances' rows.
@@ -265,28 +264,39 @@
 
 // drain takes the instance out of service: it announces that it leaves, waits
 // until the load balancer has noticed, stops accepting connections and waits
-// for the requests in progress.
+// for the requests in progress. Those that last too long are answered with refusals.
 func (r *Runner) drain(callers net.Listener) {
-	grace := time.Duration(r.options.GraceMillis)*time.Millisecond - graceMargin
+	terms := drainer.New(time.Now(), time.Duration(r.options.GraceMillis)*time.Millisecond, balancerWait)
 	r.log.Info("instance stopping", zap.Int("busy", r.acceptor.Busy()))
 	r.stopping.Store(true)
+	r.relayer.Drain(terms)
 	r.acceptor.DisableKeepAlive()
 	r.sharer.AnnounceLeaving(false)
-	limit, cancel := context.WithTimeout(context.Background(), grace)
+	limit, cancel := context.WithDeadline(context.Background(), terms.AnswerBy())
 	defer cancel()
 	r.roller.Retire()
-	pacer.Wait(limit, min(balancerWait, grace/2))
+	pacer.Wait(limit, time.Until(terms.AcceptUntil()))
 	_ = callers.Close() // nothing can be done if closing fails
-	for r.acceptor.CloseIdle() > 0 && pacer.Wait(limit, drainCheckInterval) {
-		continue
-	}
-	r.roller.Finish(limit)
-	r.roller.Stop(limit)
+	r.awaitIdle(limit)
+	r.relayer.Abort()
+	last, cancelLast := context.WithDeadline(context.Background(), terms.ExitBy())
+	defer cancelLast()
+	r.awaitIdle(last)
+	r.roller.Finish(last)
+	r.roller.Stop(last)
 	r.sharer.AnnounceLeaving(true)
 	time.Sleep(flushDelay)
 	r.log.Info("instance stopped", zap.Int("busy", r.acceptor.Busy()))
 }
 
+// awaitIdle closes the connections without a request in progress until none is left or
+// limit ends.
+func (r *Runner) awaitIdle(limit context.Context) {
+	for r.acceptor.CloseIdle() > 0 && pacer.Wait(limit, drainCheckInterval) {
+		continue
+	}
+}
+
 // announceConfirmations announces to the other instances when the store has confirmed a
 // table.
 func (r *Runner) announceConfirmations(ctx context.Context, feed *feeder.Feeder) {
