--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -9,13 +9,12 @@
 	"sync"
 	"time"
 
+	"wisteriadrum/asker"
 	"wisteriadrum/counter"
 	"wisteriadrum/rationer"
 )
 
 const (
-	// callTimeout bounds the time that a request waits for an answer of the home.
-	callTimeout = 100 * time.Millisecond
 	// failurePause is the pause after a call to the home that was not answered. A home
 	// that is lost is replaced once it counts as down.
 	failurePause = 250 * time.Millisecond
@@ -34,19 +33,18 @@
 	// home returns the address of the instance to ask about an endpoint, which is its home
 	// or forwards the request, and whether this instance is the home.
 	home  func(key uint64) (address string, local bool)
-	dial  func(address string) (net.Conn, error)
+	asker *asker.Asker
 	count *counter.Counter
 	now   func() time.Time
 
 	mu        sync.Mutex
 	rationers map[uint64]rationer.Rationer
-	clients   map[string]*rpc.Client
 }
 
 // New returns a permitter. home returns the address of the home of the endpoint with a key
 // and whether that is this instance.
 func New(home func(key uint64) (address string, local bool), dial func(address string) (net.Conn, error), count *counter.Counter, now func() time.Time) *Permitter {
-	return &Permitter{home: home, dial: dial, count: count, now: now, rationers: map[uint64]rationer.Rationer{}, clients: map[string]*rpc.Client{}}
+	return &Permitter{home: home, asker: asker.New(service+".Decide", dial), count: count, now: now, rationers: map[uint64]rationer.Rationer{}}
 }
 
 // errMalformed means that a request holds a rate that is no rate.
@@ -87,7 +85,11 @@
 		return p.grant(request), nil
 	}
 	request.Hops++
-	return p.askHome(address, request)
+	var answer Answer
+	if err := p.asker.Ask(address, request, &answer); err != nil {
+		return Answer{}, err
+	}
+	return answer, nil
 }
 
 // grant decides a request as the home of the endpoint.
@@ -122,65 +124,6 @@
 	}
 }
 
-// errSilent means that the home did not answer in time.
-var errSilent = errors.New("home did not answer in time")
-
-// askHome sends a request to the instance at address.
-func (p *Permitter) askHome(address string, request Ask) (Answer, error) {
-	var result Answer
-	client, err := p.client(address)
-	if err != nil {
-		return result, err
-	}
-	call := client.Go(service+".Decide", request, &result, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(callTimeout)
-	defer timer.Stop()
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-timer.C:
-		err = errSilent
-	}
-	if err != nil {
-		p.drop(address, client)
-		return Answer{}, err
-	}
-	return result, nil
-}
-
-// client returns a connection to the instance at address.
-func (p *Permitter) client(address string) (*rpc.Client, error) {
-	p.mu.Lock()
-	known := p.clients[address]
-	p.mu.Unlock()
-	if known != nil {
-		return known, nil
-	}
-	conn, err := p.dial(address)
-	if err != nil {
-		return nil, err
-	}
-	added := rpc.NewClient(conn)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known = p.clients[address]; known != nil {
-		_ = added.Close() // another request was faster
-		return known, nil
-	}
-	p.clients[address] = added
-	return added, nil
-}
-
-// drop closes a connection that has failed.
-func (p *Permitter) drop(address string, client *rpc.Client) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.clients[address] == client {
-		delete(p.clients, address)
-	}
-	_ = client.Close() // it is not used again
-}
-
 // decider is the RPC service of a permitter.
 type decider struct{ permit *Permitter }
 
