Send prompts with a suspect part one at a time

Cause: evidence adds up from requests sent after the crash before was known, and every prompt with the part is sent until then. The decision to send is made by each instance on its copy of the evidence, without a claim that the others see.

A part one or two levels below its limit is on probation now. Each send needs a turn from the home of the model's parts, which grants one at a time. Claims, grants and ends carry the evidence, so each sender knows the crash before it, and each crash counts. Others wait for a second at most, then are refused with Retry-After. The first answer that begins ends the probation.

TestPartThatCrashesSlowEngines fails without it: 12 prompts were sent after a crash was known, now at most three. Ruled out: losses that are noticed late (3 to 6 ms).

TestCrashingPart checks also that a refused part is refused at once and that Retry-After is what is left of the ten minutes; before, any Retry-After passed.

The guard part-refused moved to relayer/turn.go with the check.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -63,6 +63,7 @@
 // runAttempt sends the request to the chosen endpoint and relays the answer.
 func (r *Relayer) runAttempt(ctx context.Context, e *exchange) *refuser.Refusal {
 	e.loss = nil
+	defer e.endTurn()
 	a := &attempt{exchange: e, entry: e.endpoint.Entry(), prefillTokens: e.choice.PrefillTokens}
 	if e.request.Model != "" {
 		a.weights = e.endpoint.Weights(e.request.Model)
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -54,6 +54,7 @@
 		return
 	}
 	a.begun = true
+	defer a.endTurn()
 	void, cleared := r.deps.Detector.RecordAnswer(a.request, r.deps.Now())
 	if len(cleared) == 0 {
 		return
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -145,8 +145,8 @@
 // refuses a prompt with a part that crashes endpoints, also one that waited until now.
 func (r *Relayer) choose(e *exchange, behind bool, now time.Time) *refuser.Refusal {
 	request := e.request
-	if part, found := r.deps.Detector.Find(request, now); found {
-		return refuser.New(refuser.PartQuarantined, judge.NotRun, "part %q of the prompt crashed endpoints %d times in succession", part.Name, part.Level).WithRetryAt(part.Until)
+	if refusal := r.refusePart(e, now); refusal != nil {
+		return refusal
 	}
 	monitors := r.deps.Registrar.Fleet().Pool(request.Pool.Name)
 	requirements := placer.Requirements{PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, DataCentre: r.deps.DataCentre}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,6 +104,10 @@
 	// requests a second from all instances. It returns whether the request may be sent,
 	// and when to ask again otherwise.
 	TakePermit func(key uint64, perSecond float64) (granted bool, retryAt time.Time)
+	// TakeTurn asks to send a request whose prompt has parts on probation, of which all
+	// instances send only a few at a time. If it is granted, end is called when the request
+	// is not under way any more, at until at the latest.
+	TakeTurn func(scope uint64, parts []detector.Probation, until time.Time) (end func(), granted bool)
 	// LastUseMillis is how long an endpoint may still get requests after it has said
 	// that it leaves.
 	LastUseMillis int
@@ -184,6 +188,8 @@
 	endpoint, source *monitor.Monitor
 	// loss is how the last attempt lost its connection, nil if it did not.
 	loss *loss
+	// turn is the right to send the request, nil if it needs none.
+	turn *turn
 }
 
 // Run sends request to an endpoint and relays the answer. It returns the
@@ -243,7 +249,7 @@
 	if known && suspect.Refused() {
 		return refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints", len(suspect.Losses)).WithRetryAt(suspect.Until)
 	}
-	return r.waitForRoom(ctx, e)
+	return r.waitForPlace(ctx, e)
 }
 
 // reserveRetry reports whether the request is sent to another endpoint after
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"wisteriadrum/acceptor"
+	"wisteriadrum/admitter"
 	"wisteriadrum/archiver"
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
@@ -142,6 +144,7 @@
 	roller     *roller.Roller
 	informer   *informer.Informer
 	permitter  *permitter.Permitter
+	admitter   *admitter.Admitter
 	archiver   *archiver.Archiver
 	feeders    []*feeder.Feeder
 	packetConn net.PacketConn
@@ -164,13 +167,15 @@
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	r.permitter = permitter.New(r.sharer.PermitHome, deps.Dial, count, time.Now)
+	incarnation := options.Name + "@" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	r.admitter = admitter.New(incarnation, r.sharer.PermitHome, deps.Dial, detect, count, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
 		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
-		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, TakePermit: r.permitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
+		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, TakePermit: r.permitter.Take, TakeTurn: r.admitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
@@ -202,7 +207,7 @@
 		}
 	}()
 	failed := make(chan error, 5)
-	go func() { failed <- r.informer.Serve(tables, r.permitter.Register) }()
+	go func() { failed <- r.informer.Serve(tables, r.permitter.Register, r.admitter.Register) }()
 	go func() { failed <- r.acceptor.Serve(callers) }()
 	go func() { failed <- r.probeServer().Serve(ready) }()
 	go func() { failed <- r.sharer.Listen() }()
