Send unanswered orders again, and let their engines serve meanwhile

Cause: the variable that held the outcome of the report was read as that of the order that is sent again. Each successful report looked like an accepted order, so the engine was out of service for three seconds, and four of them held all places. Ruled out: the limit of the places themselves (it was 2 and they were free 0.5 s after the order), and the lease (held all the while).

TestUnansweredOrdersAreResent fails before: 8 of 9 engines ordered within 6 s, none again.

--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -57,6 +57,8 @@
 	// executeAfter if that is not 0.
 	unanswered   bool
 	executeAfter time.Duration
+	// silent makes them keep the caller of an unanswered order waiting.
+	silent bool
 }
 
 func newFleet() *fleet {
@@ -81,7 +83,10 @@
 	return roller.Report{Weights: map[string]int{"m": c.weights[engine.Name]}, Busy: c.busy[engine.Name], AcceptedOrders: c.accepted[engine.Name]}, nil
 }
 
-func (c engineClient) Order(_ context.Context, engine monitor.Entry, order roller.Order) error {
+func (c engineClient) Order(ctx context.Context, engine monitor.Entry, order roller.Order) error {
+	if c.silent {
+		defer func() { <-ctx.Done() }()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orders = append(c.orders, receivedOrder{holder: c.holder, engine: engine.Name, order: order, at: time.Now()})
@@ -323,6 +328,30 @@
 	})
 }
 
+// Guards against engines that are taken out of service, and get no order again, although
+// they do not execute the orders that they leave unanswered.
+func TestUnansweredOrdersAreResent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		engines := newFleet()
+		engines.unanswered, engines.silent = true, true
+		_, state := instance(ctx, t, "a", engines, emulator.New(time.Now).Table())
+		state.AddVersion("m", announced(2))
+		time.Sleep(6 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		orders := map[string]int{}
+		for _, order := range engines.orders {
+			orders[order.engine]++
+		}
+		assert.Equal(t, len(orders), engineCount)
+		for name, count := range orders {
+			assert.Assert(t, count > 1, name)
+		}
+	})
+}
+
 // Guards against orders to an engine that wants no calls for a time, and against an engine
 // that gets none afterwards.
 func TestOrdersToWaitingEngine(t *testing.T) {
--- a/roller/unanswered.go
+++ b/roller/unanswered.go
@@ -33,15 +33,17 @@
 		if err != nil || r.finished(endpoint, t, report) || report.AcceptedOrders != accepted && !report.Busy {
 			return
 		}
-		if !report.Busy && !r.now().Before(resendAt) {
+		executed := report.Busy
+		if !executed && !r.now().Before(resendAt) {
 			_, err = r.sendOrder(ctx, endpoint, t, accepted)
 			resendAt = r.now().Add(resendInterval)
 			if err != nil && !errors.Is(err, ErrOutcomeUnknown) && !errors.Is(err, ErrBusy) {
 				return
 			}
 			r.count.Add("orders", "resent")
+			executed = err == nil
 		}
-		if report.Busy || err == nil {
+		if executed {
 			r.setOutOfService(endpoint.Key, true)
 			r.announceLoading(endpoint, t)
 			r.awaitVersion(ctx, endpoint, t)
