End attempts that have not begun when their weights go out of use

Cause: that a request begins in time was checked when it was sent, by a fixed margin, and never again. Ruled out: a margin by the predicted time, which was exceeded up to 15 times; so no margin bounds the worst case and leaves the engines of use. A deadline at the engine would also end streams that have begun.

An attempt whose stream has not begun 0.1 s before its weights go out of use is ended now by closing its connection, at an instance that has not missed announcements. It may have run, so only what may be repeated is sent again, within the budget of retries.

TestRequestWaitsUntilWeightsAreOutOfUse fails before (answered 200).

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -45,6 +45,9 @@
 	marks []detector.Suspect
 	// begun reports that the endpoint began to answer.
 	begun bool
+	// settled is set when the endpoint begins to answer, or when the attempt ends since it
+	// has not before its weights went out of use; outdated means the latter.
+	settled, outdated atomic.Bool
 	// saveStore is the store to which the endpoint saves the cached parts, or
 	// nil.
 	saveStore *monitor.Monitor
@@ -85,6 +88,7 @@
 	a.conn = conn
 	a.sentAt = r.deps.Now()
 	defer r.startWatch(a)()
+	defer r.limitWait(ctx, a)()
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reusable, refusal := r.sendAndReceive(ctx, a)
 	if !stop() || !reusable || conn.SetDeadline(time.Time{}) != nil {
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -54,6 +54,7 @@
 		return
 	}
 	a.begun = true
+	a.settled.Store(true)
 	void, cleared := r.deps.Detector.RecordAnswer(a.request, r.deps.Now())
 	if len(cleared) == 0 {
 		return
@@ -97,6 +98,9 @@
 	}
 	now := r.deps.Now()
 	var timeout net.Error
+	if a.outdated.Load() {
+		return refuser.New(refuser.WrongWeights, judge.MayHaveRun, "endpoint %s did not begin before version %d of the weights of %s went out of use", a.entry.Name, a.weights, a.request.Model)
+	}
 	if a.abandoned.Load() {
 		a.endpoint.RecordFailure(now)
 		a.retryReserved = true
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -152,13 +152,9 @@
 	requirements := placer.Requirements{PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, DataCentre: r.deps.DataCentre}
 	if request.Model != "" {
 		versions := r.deps.Registrar.Versions(request.Model)
-		at := r.deps.Registrar.Now()
-		margin := r.deps.WeightsMargin / lateWeightsPart
 		requirements.NewestVersion = versions.Newest()
-		requirements.MinVersion = versions.Required(at.Add(r.deps.WeightsMargin))
-		requirements.RequiredVersion = versions.Required(at.Add(margin))
-		since, fromStart := r.deps.FollowedSince()
-		requirements.Strict = versions.Binding(requirements.RequiredVersion, since, fromStart, now.Add(margin-r.deps.WeightsPeriod))
+		requirements.MinVersion = versions.Required(r.deps.Registrar.Now().Add(r.deps.WeightsMargin))
+		requirements.RequiredVersion, requirements.Strict = r.requiredWeights(request.Model, r.deps.WeightsMargin/lateWeightsPart)
 	}
 	if len(monitors) == 0 {
 		return refuser.New(refuser.NoEndpoint, judge.NotRun, "no endpoint of pool %s is known", request.Pool.Name).WithRetryAt(now.Add(retryAfter))
