--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -57,6 +57,8 @@
 	// executeAfter if that is not 0.
 	unanswered   bool
 	executeAfter time.Duration
+	// silent makes them keep the caller of an unanswered order waiting.
+	silent bool
 }
 
 func newFleet() *fleet {
@@ -81,7 +83,10 @@
 	return roller.Report{Weights: map[string]int{"m": c.weights[engine.Name]}, Busy: c.busy[engine.Name], AcceptedOrders: c.accepted[engine.Name]}, nil
 }
 
-func (c engineClient) Order(_ context.Context, engine monitor.Entry, order roller.Order) error {
+func (c engineClient) Order(ctx context.Context, engine monitor.Entry, order roller.Order) error {
+	if c.silent {
+		defer func() { <-ctx.Done() }()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orders = append(c.orders, receivedOrder{holder: c.holder, engine: engine.Name, order: order, at: time.Now()})
@@ -230,7 +235,8 @@
 func newRoller(name string, incarnation int64, conn net.PacketConn, state *registrar.Registrar, engines *fleet, table tabler.Table, tableNow tableClock) (*roller.Roller, *sharer.Sharer) {
 	count := counter.New(metrics.NewRegistry())
 	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
-	stateSharer := sharer.New(self, incarnation, 500, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, func() (time.Time, bool) { return time.Time{}, false }, count, zap.NewNop()), count, zap.NewNop(), time.Now)
+	noClock := func() (time.Time, bool) { return time.Time{}, false }
+	stateSharer := sharer.New(self, incarnation, 500, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, noClock, noClock, count, zap.NewNop()), count, zap.NewNop(), time.Now)
 	lease := leaser.New(table, "lease", fmt.Sprintf("%s@%d", name, incarnation), leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, tableNow)
 	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
@@ -323,6 +329,30 @@
 	})
 }
 
+// Guards against engines that are taken out of service, and get no order again, although
+// they do not execute the orders that they leave unanswered.
+func TestUnansweredOrdersAreResent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		engines := newFleet()
+		engines.unanswered, engines.silent = true, true
+		_, state := instance(ctx, t, "a", engines, emulator.New(time.Now).Table())
+		state.AddVersion("m", announced(2))
+		time.Sleep(6 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		orders := map[string]int{}
+		for _, order := range engines.orders {
+			orders[order.engine]++
+		}
+		assert.Equal(t, len(orders), engineCount)
+		for name, count := range orders {
+			assert.Assert(t, count > 1, name)
+		}
+	})
+}
+
 // Guards against orders to an engine that wants no calls for a time, and against an engine
 // that gets none afterwards.
 func TestOrdersToWaitingEngine(t *testing.T) {
