Give up the lease of orders while the last answers of a stop are written

Found by reading, with no caller that saw it: the instance waited for its last connections before it gave up its lease, and connections that linger could leave no time for that.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -281,9 +281,9 @@
 	r.relayer.Abort()
 	last, cancelLast := context.WithDeadline(context.Background(), terms.ExitBy())
 	defer cancelLast()
-	r.awaitIdle(last)
 	r.roller.Finish(last)
 	r.roller.Stop(last)
+	r.awaitIdle(last) // the last answers were written in the meantime
 	r.sharer.AnnounceLeaving(true)
 	time.Sleep(flushDelay)
 	r.log.Info("instance stopped", zap.Int("busy", r.acceptor.Busy()))
