Let one instance grant the room of each engine, in turns

Cause: each of 85 instances sent prompts to the engine that looked emptiest in a view that is 60 to 120 ms old, so up to 162 long prompts reached an engine within 50 ms, lost their slots to one another and were read again. Those that waited had no turn among all instances: what became free went to the first that saw it, most often a smaller one.

A long prompt now asks the home of the engine (granter), which counts what it has granted until that shows in the load (reserver). A prompt that waits keeps its turn at one engine: after later ones of its own size nothing that would take its room is granted before it. Without an answer of the home a prompt is sent as before.

The queue within an instance remains for endpoints that want no requests.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -90,6 +90,9 @@
 	CachedTokens int
 	// Excluded rules the endpoint out, for example after a failed attempt.
 	Excluded bool
+	// Claimed means that the request waits for room at this engine, Roomless that the
+	// engine had none when asked.
+	Claimed, Roomless bool
 }
 
 // Source is an engine or a store from which cached prompt parts can be fetched.
@@ -127,6 +130,11 @@
 	// Full reports that the endpoint has no room for a long prompt now, Held that it must
 	// get no request now.
 	Full, Held bool
+	// LimitTokens is the KV memory that running requests may hold at the endpoint with a
+	// long prompt, 0 for others.
+	LimitTokens int
+	// Claimed means that the request waits for room at the endpoint.
+	Claimed bool
 	// Outdated reports that the endpoint's weights are older than RequiredVersion, or
 	// without a candidate that those of all eligible ones are.
 	Outdated bool
@@ -161,6 +169,9 @@
 	if c.Full != other.Full {
 		return other.Full
 	}
+	if c.Claimed != other.Claimed {
+		return c.Claimed
+	}
 	return c.Cost < other.Cost
 }
 
@@ -215,7 +226,9 @@
 	choice.PredictedMillis = choice.UnscaledMillis*view.LatencyRatio + fetchMillis + capacityWaitMillis(requirements, view)
 	choice.FetchMillis = fetchMillis
 	choice.Cost = choice.PredictedMillis + penaltyMillis(requirements, view)
-	choice.Full = saturated(requirements, view)
+	choice.LimitTokens = limitTokens(requirements, view)
+	choice.Full = choice.LimitTokens > 0 && saturated(requirements, candidate, choice.LimitTokens)
+	choice.Claimed = candidate.Claimed
 	return choice
 }
 
@@ -233,18 +246,25 @@
 // requests to end or because the engine would refuse it. Engines in backoff or
 // loading weights count as full: they are empty, so they would otherwise be
 // preferred over engines that work.
-func saturated(requirements Requirements, view monitor.View) bool {
-	capacity := float64(view.Engine.CapacityTokens)
-	if float64(requirements.PromptTokens) < longPromptShare*capacity {
-		return false
-	}
-	if view.Loading || view.InBackoff {
+func saturated(requirements Requirements, candidate Candidate, limitTokens int) bool {
+	view := candidate.View
+	if view.Loading || view.InBackoff || candidate.Roomless {
 		return true
 	}
-	if view.Load.Requests == 0 {
+	if view.Load.Requests == 0 || candidate.Claimed {
 		return false
 	}
-	return float64(view.Load.KVTokens+requirements.PromptTokens) > maxRunningShare*capacity
+	return view.Load.KVTokens+requirements.PromptTokens > limitTokens
+}
+
+// limitTokens returns the KV memory that running requests may hold with a long prompt, 0
+// for other requests. A prompt of any size has room where next to nothing runs.
+func limitTokens(requirements Requirements, view monitor.View) int {
+	capacity := float64(view.Engine.CapacityTokens)
+	if float64(requirements.PromptTokens) < longPromptShare*capacity {
+		return 0
+	}
+	return max(int(maxRunningShare*capacity), requirements.PromptTokens+int(longPromptShare*capacity))
 }
 
 // capacityWaitMillis returns the wait for a batch slot and for KV memory.
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -22,23 +22,26 @@
 // retry, and at once if it would wait longer.
 func (r *Relayer) waitForRoom(ctx context.Context, e *exchange) *refuser.Refusal {
 	startedAt := r.deps.Now()
+	giveUpAt := startedAt.Add(e.deadline.Sub(startedAt) / 2)
 	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
-	held := r.queue(queueKey{e.request.Pool.Name, true})
+	held := r.queue(e.request.Pool.Name)
+	defer held.Leave(ticket)
 	refusal := r.place(ctx, e, held.Ahead(ticket, startedAt) > 0)
-	if refusal != nil || !e.mustWait() {
-		return refusal
-	}
-	queue := held
-	if !e.choice.Held {
-		queue = r.queue(queueKey{e.request.Pool.Name, false})
-	}
-	queue.Join(ticket)
-	defer queue.Leave(ticket)
-	giveUpAt := startedAt.Add(e.deadline.Sub(startedAt) / 2)
-	if refusal := r.refuseHeld(e, queue.Ahead(ticket, startedAt), giveUpAt); refusal != nil {
-		return refusal
-	}
-	for pacer.Wait(ctx, pacer.Jitter(roomCheckInterval)) {
+	for refusal == nil && e.mustWait() {
+		interval := heldCheckInterval
+		if e.choice.Held {
+			held.Join(ticket)
+		} else {
+			held.Leave(ticket)
+			r.keepClaim(e)
+			interval = roomCheckInterval
+		}
+		if refusal := r.refuseHeld(e, held.Ahead(ticket, r.deps.Now()), giveUpAt); refusal != nil {
+			return refusal
+		}
+		if !pacer.Wait(ctx, pacer.Jitter(interval)) {
+			return endedRefusal(ctx, judge.NotRun)
+		}
 		now := r.deps.Now()
 		if refusal := r.admit(e); refusal != nil {
 			return refusal
@@ -46,36 +49,37 @@
 		if !now.Before(giveUpAt) {
 			return refuser.New(refuser.Overloaded, judge.NotRun, "no endpoint had room for %d ms", now.Sub(startedAt).Milliseconds()).WithRetryAt(r.retryAt(e.request.Pool.Name, now))
 		}
-		if ahead := queue.Ahead(ticket, now); ahead > 0 {
-			if refusal := r.refuseHeld(e, ahead, giveUpAt); refusal != nil {
-				return refusal
-			}
+		if e.choice.Held && held.Ahead(ticket, now) > 0 {
 			continue
 		}
-		if refusal := r.place(ctx, e, false); refusal != nil || !e.mustWait() {
-			e.waited = now.Sub(startedAt)
-			return refusal
-		}
-		if refusal := r.refuseHeld(e, 0, giveUpAt); refusal != nil {
-			return refusal
-		}
+		refusal = r.place(ctx, e, false)
+		e.waited = now.Sub(startedAt)
 	}
-	return endedRefusal(ctx, judge.NotRun)
+	return refusal
 }
 
-// place chooses an endpoint, and takes a permit if that has named a limit. behind means
-// that others wait for such a permit before this request.
+// place chooses an endpoint, asks for room there for a long prompt, and takes a permit if
+// it has named a limit. behind means that others wait for such a permit before this request.
 func (r *Relayer) place(ctx context.Context, e *exchange, behind bool) *refuser.Refusal {
+	e.roomless = nil
 	for range maxPermitAsks {
 		refusal := r.choose(e, behind, r.deps.Now())
 		if refusal != nil || e.mustWait() || ctx.Err() != nil {
 			return refusal
 		}
+		if e.choice.LimitTokens > 0 && !e.answer.Begun() && !r.takeRoom(e) {
+			if len(e.roomless) >= maxRoomAsks {
+				return nil
+			}
+			continue
+		}
 		if _, limited := e.endpoint.Said().Limit(); !limited || r.takePermit(ctx, e.endpoint) {
 			return nil
 		}
 	}
-	e.choice.Held = true
+	if !e.choice.Full {
+		e.choice.Held = true
+	}
 	return nil
 }
 
@@ -83,7 +87,7 @@
 // be sent. One request of this instance asks at a time: each that is refused takes a later
 // turn, and the latest turn holds all of them back.
 func (r *Relayer) takePermit(ctx context.Context, endpoint *monitor.Monitor) bool {
-	ctx, cancel := context.WithTimeout(ctx, roomCheckInterval)
+	ctx, cancel := context.WithTimeout(ctx, heldCheckInterval)
 	defer cancel()
 	if !endpoint.BeginAsk(ctx) {
 		return false
@@ -190,7 +194,10 @@
 		view := endpoint.View(request.Model, now)
 		view.Held = view.Held || behind && view.Limited
 		cached, ready := cachedTokens(endpoint, request, view.Weights)
-		candidates[i] = placer.Candidate{View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint)}
+		candidates[i] = placer.Candidate{
+			View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint) || e.sampling && rand.IntN(len(monitors)) >= claimSample,
+			Claimed: endpoint == e.claimed, Roomless: slices.Contains(e.roomless, endpoint),
+		}
 		if ready > 0 && !view.InBackoff && !view.Loading && !view.Left {
 			sources = append(sources, placer.Source{DataCentre: view.Entry.DataCentre, CachedTokens: ready, Weights: view.Weights, LinkMbps: view.Engine.LinkMbps})
 			sourceMonitors = append(sourceMonitors, endpoint)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -25,6 +25,7 @@
 	"wisteriadrum/refuser"
 	"wisteriadrum/registrar"
 	"wisteriadrum/requester"
+	"wisteriadrum/reserver"
 	"wisteriadrum/responder"
 	"wisteriadrum/translator"
 )
@@ -36,11 +37,17 @@
 	// maxPermitAsks limits for how many endpoints a request asks for a permit before it
 	// waits.
 	maxPermitAsks = 4
+	// claimSample is the mean number of engines of which a request that waits chooses one.
+	claimSample = 3
+	// maxRoomAsks limits at how many engines a request asks for room before it waits.
+	maxRoomAsks = 2
 	// answerMargin is reserved for sending the answer to the caller.
 	answerMargin = 10 * time.Millisecond
-	// roomCheckInterval is the mean interval at which a waiting request checks
-	// for an engine with room.
-	roomCheckInterval = 20 * time.Millisecond
+	// roomCheckInterval is the mean interval at which a waiting request asks for room at
+	// an engine, heldCheckInterval that at which it checks for an endpoint that may get
+	// requests.
+	roomCheckInterval = 100 * time.Millisecond
+	heldCheckInterval = 20 * time.Millisecond
 	// lateWeightsPart is the part of WeightsMargin in which no request is sent to
 	// older weights any more.
 	lateWeightsPart = 2
@@ -58,7 +65,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
-	queues  map[queueKey]*queuer.Queue
+	queues  map[string]*queuer.Queue
 	watched map[*attempt]struct{}
 	// watchStarted receives a value when an attempt is added to watched.
 	watchStarted chan struct{}
@@ -115,6 +122,8 @@
 	// instances send only a few at a time. If it is granted, end is called when the request
 	// is not under way any more, at until at the latest.
 	TakeTurn func(scope uint64, parts []detector.Probation, until time.Time) (end func(), granted bool)
+	// TakeRoom asks for room for a prompt at the engine with a key.
+	TakeRoom func(key uint64, request reserver.Request) bool
 	// LastUseMillis is how long an endpoint may still get requests after it has said
 	// that it leaves.
 	LastUseMillis int
@@ -127,7 +136,7 @@
 func New(deps Dependencies) *Relayer {
 	aborted, abort := context.WithCancel(context.Background())
 	return &Relayer{
-		aborted: aborted, abort: abort, deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[queueKey]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
+		aborted: aborted, abort: abort, deps: deps, budgets: map[string]*budgeter.Budget{}, queues: map[string]*queuer.Queue{}, watched: map[*attempt]struct{}{}, watchStarted: make(chan struct{}, 1), instances: 1,
 	}
 }
 
@@ -154,21 +163,15 @@
 	return budget
 }
 
-// queueKey identifies a queue: of the requests to a pool that wait until its endpoints have
-// room, or until these may get requests.
-type queueKey struct {
-	pool string
-	held bool
-}
-
-// queue returns the queue with a key.
-func (r *Relayer) queue(key queueKey) *queuer.Queue {
+// queue returns the queue of the requests that wait until an endpoint of a pool may get
+// requests.
+func (r *Relayer) queue(pool string) *queuer.Queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	queue := r.queues[key]
+	queue := r.queues[pool]
 	if queue == nil {
 		queue = queuer.New()
-		r.queues[key] = queue
+		r.queues[pool] = queue
 	}
 	return queue
 }
@@ -187,6 +190,13 @@
 	// lastEventID is the id of the last event that was relayed.
 	lastEventID string
 	choice      placer.Choice
+	// roomless are the endpoints that had no room when asked for it lately.
+	roomless []*monitor.Monitor
+	// claimed is the engine at which the request waits for its turn, roomID identifies it
+	// there. sampling means that the engine is being chosen.
+	claimed  *monitor.Monitor
+	roomID   uint64
+	sampling bool
 	// waited is how long the request waited for an engine with room.
 	waited time.Duration
 	// firstMillis is the time to the first relayed event in milliseconds.
--- a/relayer/turn.go
+++ b/relayer/turn.go
@@ -69,7 +69,7 @@
 			return refuser.New(refuser.Overloaded, judge.NotRun, "part %q of the prompt may crash endpoints, other requests with it were under way for %d ms", part.Name, now.Sub(startedAt).Milliseconds()).WithRetryAt(now.Add(retryAfter + rand.N(retrySpread)))
 		}
 		if !pacer.Wait(ctx, pacer.Jitter(turnCheckInterval)) {
-			return refuser.New(refuser.CallerGone, judge.NotRun, "the caller left")
+			return endedRefusal(ctx, judge.NotRun)
 		}
 	}
 }
--- a/runner/engines.go
+++ b/runner/engines.go
@@ -60,3 +60,12 @@
 	}
 	return endpoint
 }
+
+// runningTokens returns the KV memory that running requests hold at an engine.
+func (r *Runner) runningTokens(key uint64) int {
+	engine := r.registrar.Fleet().ByKey(key)
+	if engine == nil {
+		return 0
+	}
+	return engine.View("", time.Now()).Load.KVTokens
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,6 +25,7 @@
 	"wisteriadrum/drainer"
 	"wisteriadrum/exposer"
 	"wisteriadrum/feeder"
+	"wisteriadrum/granter"
 	"wisteriadrum/informer"
 	"wisteriadrum/leaser"
 	"wisteriadrum/monitor"
@@ -146,6 +147,7 @@
 	informer   *informer.Informer
 	permitter  *permitter.Permitter
 	admitter   *admitter.Admitter
+	granter    *granter.Granter
 	archiver   *archiver.Archiver
 	feeders    []*feeder.Feeder
 	packetConn net.PacketConn
@@ -169,6 +171,7 @@
 	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	r.permitter = permitter.New(r.sharer.PermitHome, deps.Dial, count, time.Now)
 	incarnation := options.Name + "@" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	r.granter = granter.New(r.sharer.PermitHome, deps.Dial, r.runningTokens, count, time.Now)
 	r.admitter = admitter.New(incarnation, r.sharer.PermitHome, deps.Dial, detect, count, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
@@ -176,7 +179,7 @@
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
 		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
-		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, TakePermit: r.permitter.Take, TakeTurn: r.admitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
+		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, TakePermit: r.permitter.Take, TakeRoom: r.granter.Take, TakeTurn: r.admitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
@@ -208,7 +211,9 @@
 		}
 	}()
 	failed := make(chan error, 5)
-	go func() { failed <- r.informer.Serve(tables, r.permitter.Register, r.admitter.Register) }()
+	go func() {
+		failed <- r.informer.Serve(tables, r.permitter.Register, r.admitter.Register, r.granter.Register)
+	}()
 	go func() { failed <- r.acceptor.Serve(callers) }()
 	go func() { failed <- r.probeServer().Serve(ready) }()
 	go func() { failed <- r.sharer.Listen() }()
