Use engines that leave an order unanswered as before it

An engine is announced as loading before it is ordered, for 1.5 s, so that it is empty. That stayed so when it left the order unanswered, for 0.9 s after its place had gone to the next one. With two places and an order each 0.6 s that makes up to five engines of nine that get hardly any requests at once (arithmetic).

The mark is ended now at all instances as soon as the engine reports that it executes nothing, and it reports at once after the time limit of its order.

TestUnansweredOrdersAreResent fails before (an engine is still marked as loading).

--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -338,7 +338,11 @@
 		engines.unanswered, engines.silent = true, true
 		_, state := instance(ctx, t, "a", engines, emulator.New(time.Now).Table())
 		state.AddVersion("m", announced(2))
-		time.Sleep(6 * time.Second)
+		time.Sleep(3500 * time.Millisecond) // all have got one
+		for name, endpoint := range state.Fleet().All() {
+			assert.Assert(t, !endpoint.View("m", time.Now()).Loading, name)
+		}
+		time.Sleep(2500 * time.Millisecond)
 		engines.mu.Lock()
 		defer engines.mu.Unlock()
 		orders := map[string]int{}
--- a/roller/unanswered.go
+++ b/roller/unanswered.go
@@ -25,7 +25,7 @@
 func (r *Roller) awaitUnanswered(ctx context.Context, endpoint *monitor.Monitor, t task, accepted int) {
 	r.setOutOfService(endpoint.Key, false)
 	deadline, resendAt := r.now().Add(unansweredTimeout), r.now().Add(resendInterval)
-	for pacer.Wait(ctx, unansweredInterval) && r.now().Before(deadline) {
+	for pause := time.Duration(0); pacer.Wait(ctx, pause) && r.now().Before(deadline); pause = unansweredInterval {
 		report, err := r.report(ctx, endpoint)
 		if errors.Is(err, errHeld) {
 			continue
@@ -34,6 +34,9 @@
 			return
 		}
 		executed := report.Busy
+		if !executed && pause == 0 {
+			r.announceServing(endpoint, t)
+		}
 		if !executed && !r.now().Before(resendAt) {
 			_, err = r.sendOrder(ctx, endpoint, t, accepted)
 			resendAt = r.now().Add(resendInterval)
--- a/roller/update.go
+++ b/roller/update.go
@@ -142,6 +142,12 @@
 	r.sharer.AnnounceWeights(endpoint, t.model, 0, int((loadTimeout / 2).Milliseconds()))
 }
 
+// announceServing ends that mark, at the other instances as soon as it reaches them.
+func (r *Roller) announceServing(endpoint *monitor.Monitor, t task) {
+	endpoint.MarkLoading(time.Time{})
+	r.sharer.AnnounceWeights(endpoint, t.model, 0, 1)
+}
+
 // awaitQueue waits until the other instances have stopped sending requests to
 // the engine and its queued requests run, since an order makes the engine
 // refuse the requests in its queue. The wait is bounded by maxQueueWait.
