--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -46,7 +46,7 @@
 	// roomCheckInterval is the mean interval at which a waiting request asks for room at
 	// an engine, heldCheckInterval that at which it checks for an endpoint that may get
 	// requests.
-	roomCheckInterval = 100 * time.Millisecond
+	roomCheckInterval = 60 * time.Millisecond
 	heldCheckInterval = 20 * time.Millisecond
 	// lateWeightsPart is the part of WeightsMargin in which no request is sent to
 	// older weights any more.
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -17,6 +17,9 @@
 	settleTime = 150 * time.Millisecond
 	// claimLife is how long a claim lasts that is not renewed.
 	claimLife = 200 * time.Millisecond
+	// maxOvertaking is how many times its own size a prompt that waits may be overtaken by
+	// later ones.
+	maxOvertaking = 4
 )
 
 // Request asks for room for a prompt.
@@ -63,9 +66,8 @@
 	overtakenTokens int
 }
 
-// due reports whether the prompt may not be overtaken any more: after later ones of its
-// own size.
-func (c claim) due() bool { return c.overtakenTokens >= c.tokens }
+// due reports whether the prompt may not be overtaken any more.
+func (c claim) due() bool { return c.overtakenTokens >= maxOvertaking*c.tokens }
 
 // Take asks for room at an engine whose running requests hold usedTokens, as far as the
 // instance knows, and returns whether there is room now.
