Set the deadline of an attempt before anything may cut it short

A limit of the wait for older weights, or a caller that left, that came between the start of the watch and the first write was undone, since the connection's deadline was set once more after it. Found by review; no test reaches that moment.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -87,6 +87,10 @@
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "dial endpoint %s: %s", a.entry.Name, err)
 	}
 	a.conn = conn
+	if err := conn.SetDeadline(a.deadline); err != nil {
+		_ = conn.Close()
+		return refuser.New(refuser.UpstreamLost, judge.NotRun, "endpoint %s: %s", a.entry.Name, err)
+	}
 	a.sentAt = r.deps.Now()
 	defer r.startWatch(a)()
 	defer r.limitWait(ctx, a)()
@@ -106,9 +110,6 @@
 	if ctx.Err() != nil {
 		return false, endedRefusal(ctx, judge.NotRun)
 	}
-	if err := a.conn.SetDeadline(a.deadline); err != nil {
-		return false, refuser.New(refuser.UpstreamLost, judge.NotRun, "endpoint %s: %s", a.entry.Name, err)
-	}
 	if refusal := r.send(a); refusal != nil {
 		return false, refusal
 	}
