Decide on room without the home by what the instance knows, and keep turns where they serve

The instance decides by itself then; refusals of a call are no silence, dials are shared. - A prompt that is due and finds no room beside short requests blocked its engine for all others (TestDuePromptDoesNotBlockAnEmptyEngine): it holds others back for a second. - A prompt waited at an engine that may not get it (TestClaimMovesFromAHeldEngine). - Room was taken for prompts that got no permit (TestRoomWithoutAPermit): an engine with a limit is asked for by permits alone. - A request was sent with its whole time when a stop began while it was placed (TestStopBoundsRequestsThatWaitForRoom): its deadline is bounded after the choice.

TestHomeIsLost expects the decision of the instance now, two of five, where all were sent.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -145,7 +145,7 @@
 	}
 	claim.Hops++
 	var decision Decision
-	if err := a.asker.Ask(address, claim, &decision); err != nil {
+	if err := a.asker.Ask(address, claim.Hops, claim, &decision); err != nil {
 		return Decision{}, err
 	}
 	return decision, nil
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -4,7 +4,6 @@
 package granter
 
 import (
-	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -16,7 +15,7 @@
 )
 
 const (
-	// failurePause is the time for which an instance that did not answer is not asked.
+	// failurePause is the time for which a home that did not answer is not asked.
 	failurePause = 250 * time.Millisecond
 	// pruneInterval is the interval at which unused reservers are dropped.
 	pruneInterval = time.Second
@@ -49,8 +48,8 @@
 	mu        sync.Mutex
 	reservers map[uint64]reserver.Reserver
 	pruneAt   time.Time
-	// silentUntil is until when the instance with an address is not asked.
-	silentUntil map[string]time.Time
+	// silentUntil is until when the home of the engine with a key is not asked.
+	silentUntil map[uint64]time.Time
 }
 
 // New returns a granter. home returns the address of the home of the engine with a key and
@@ -59,47 +58,39 @@
 func New(home func(key uint64) (address string, local bool), dial func(address string) (net.Conn, error), runningTokens func(key uint64) int, count *counter.Counter, now func() time.Time) *Granter {
 	return &Granter{
 		home: home, asker: asker.New(service+".Decide", dial), runningTokens: runningTokens, count: count, now: now,
-		reservers: map[uint64]reserver.Reserver{}, silentUntil: map[string]time.Time{},
+		reservers: map[uint64]reserver.Reserver{}, silentUntil: map[uint64]time.Time{},
 	}
 }
 
-// Take asks for room for a prompt at the engine with a key. Without an answer of the home
-// there is room: at worst, the engine is busier than this instance knows.
+// Take asks for room for a prompt at the engine with a key.
 func (g *Granter) Take(key uint64, request reserver.Request) bool {
-	granted, err := g.decide(Ask{Key: key, Room: request})
-	switch {
-	case err != nil:
-		g.count.Add("room", "unanswered")
-		return true
-	case granted:
+	granted := g.decide(Ask{Key: key, Room: request})
+	if granted {
 		g.count.Add("room", "granted")
-	default:
+	} else {
 		g.count.Add("room", "refused")
 	}
 	return granted
 }
 
-// errSilent means that the instance to ask did not answer lately.
-var errSilent = errors.New("instance did not answer lately")
-
-// decide decides a request here or at the home.
-func (g *Granter) decide(ask Ask) (granted bool, err error) {
-	if err := ask.Room.Validate(); err != nil {
-		return false, err
-	}
+// decide decides a request at the home, or here by what this instance knows if the home
+// does not answer.
+func (g *Granter) decide(ask Ask) bool {
 	address, local := g.home(ask.Key)
 	if local || ask.Hops >= maxHops {
-		return g.grant(ask), nil
-	}
-	if g.silent(address) {
-		return false, errSilent
+		return g.grant(ask)
 	}
-	ask.Hops++
-	if err := g.asker.Ask(address, ask, &granted); err != nil {
-		g.recordSilence(address)
-		return false, err
+	if !g.silent(ask.Key) {
+		forwarded := ask
+		forwarded.Hops++
+		var granted bool
+		if err := g.asker.Ask(address, forwarded.Hops, forwarded, &granted); err == nil {
+			return granted
+		}
+		g.recordSilence(ask.Key)
 	}
-	return granted, nil
+	g.count.Add("room", "unanswered")
+	return g.grant(ask)
 }
 
 // grant decides a request as the home of the engine.
@@ -127,15 +118,15 @@
 	}
 }
 
-// silent reports whether the instance at address did not answer lately.
-func (g *Granter) silent(address string) bool {
+// silent reports whether the home of the engine with a key did not answer lately.
+func (g *Granter) silent(key uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.now().Before(g.silentUntil[address])
+	return g.now().Before(g.silentUntil[key])
 }
 
-// recordSilence records that the instance at address did not answer.
-func (g *Granter) recordSilence(address string) {
+// recordSilence records that the home of the engine with a key did not answer.
+func (g *Granter) recordSilence(key uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -144,7 +135,7 @@
 			delete(g.silentUntil, other)
 		}
 	}
-	g.silentUntil[address] = now.Add(failurePause)
+	g.silentUntil[key] = now.Add(failurePause)
 }
 
 // decider is the RPC service of a granter.
@@ -152,9 +143,11 @@
 
 // Decide decides a request of another instance, or forwards it to the home of the engine.
 func (d *decider) Decide(ask Ask, granted *bool) error {
-	decided, err := d.grant.decide(ask)
-	*granted = decided
-	return err
+	if err := ask.Room.Validate(); err != nil {
+		return err
+	}
+	*granted = d.grant.decide(ask)
+	return nil
 }
 
 // Register adds the service that decides the requests of other instances.
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -78,7 +78,7 @@
 	f := newFleet()
 	f.lost.Store(true)
 	for id := range uint64(5) {
-		assert.Assert(t, f.take(1, id+1))
+		assert.Equal(t, f.take(1, id+1), id < 2, "decided by what the instance knows")
 	}
 	assert.Equal(t, f.dials.Load(), int32(1), "asked again at once")
 	f.lost.Store(false)
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -86,7 +86,7 @@
 	}
 	request.Hops++
 	var answer Answer
-	if err := p.asker.Ask(address, request, &answer); err != nil {
+	if err := p.asker.Ask(address, request.Hops, request, &answer); err != nil {
 		return Answer{}, err
 	}
 	return answer, nil
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,6 +37,9 @@
 	// longPromptShare is the share of an engine's KV memory above which a
 	// prompt counts as long.
 	longPromptShare = 0.015
+	// shortRequestsShare is the share of KV memory that other requests may hold beside a
+	// prompt that is larger than maxRunningShare.
+	shortRequestsShare = 0.1
 	// preemptionShare is the share of KV memory above which engines preempt
 	// requests.
 	preemptionShare = 0.85
@@ -264,7 +267,7 @@
 	if float64(requirements.PromptTokens) < longPromptShare*capacity {
 		return 0
 	}
-	return max(int(maxRunningShare*capacity), requirements.PromptTokens+int(longPromptShare*capacity))
+	return max(int(maxRunningShare*capacity), requirements.PromptTokens+int(shortRequestsShare*capacity))
 }
 
 // capacityWaitMillis returns the wait for a batch slot and for KV memory.
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -55,25 +55,28 @@
 		refusal = r.place(ctx, e, false)
 		e.waited = now.Sub(startedAt)
 	}
-	return refusal
+	if refusal != nil {
+		return refusal
+	}
+	return r.admit(e) // a stop may have begun meanwhile
 }
 
-// place chooses an endpoint, asks for room there for a long prompt, and takes a permit if
-// it has named a limit. behind means that others wait for such a permit before this request.
+// place chooses an endpoint, and takes a permit if it has named a limit, or room for a long
+// prompt. behind means that others wait for such a permit before this request.
 func (r *Relayer) place(ctx context.Context, e *exchange, behind bool) *refuser.Refusal {
-	e.roomless = nil
+	e.roomless, e.claimAsked = nil, false
 	for range maxPermitAsks {
 		refusal := r.choose(e, behind, r.deps.Now())
 		if refusal != nil || e.mustWait() || ctx.Err() != nil {
 			return refusal
 		}
-		if e.choice.LimitTokens > 0 && !e.answer.Begun() && !r.takeRoom(e) {
-			if len(e.roomless) >= maxRoomAsks {
+		if _, limited := e.endpoint.Said().Limit(); limited {
+			if r.takePermit(ctx, e.endpoint) {
 				return nil
 			}
 			continue
 		}
-		if _, limited := e.endpoint.Said().Limit(); !limited || r.takePermit(ctx, e.endpoint) {
+		if e.choice.LimitTokens == 0 || e.answer.Begun() || r.takeRoom(e) || len(e.roomless) >= maxRoomAsks {
 			return nil
 		}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -197,6 +197,8 @@
 	claimed  *monitor.Monitor
 	roomID   uint64
 	sampling bool
+	// claimAsked reports that the last choice led to the claimed engine.
+	claimAsked bool
 	// waited is how long the request waited for an engine with room.
 	waited time.Duration
 	// firstMillis is the time to the first relayed event in milliseconds.
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -16,6 +16,7 @@
 		ID: e.roomID, Tokens: e.request.PromptTokens, LimitTokens: e.choice.LimitTokens,
 		Priority: e.request.Priority(), Claims: e.endpoint == e.claimed,
 	}
+	e.claimAsked = e.claimAsked || request.Claims
 	if r.deps.TakeRoom(e.endpoint.Key, request) {
 		return true
 	}
@@ -24,22 +25,14 @@
 	return false
 }
 
-// keepClaim claims room at an engine unless the request waits at one that may get it.
+// keepClaim chooses an engine to wait at unless the last choice led to the one that the
+// request waits at.
 func (r *Relayer) keepClaim(e *exchange) {
-	if now := r.deps.Now(); !e.claimStands(now) {
-		r.claim(e, now)
+	if !e.claimAsked {
+		r.claim(e, r.deps.Now())
 	}
 }
 
-// claimStands reports whether the request waits at an engine that may still get it.
-func (e *exchange) claimStands(now time.Time) bool {
-	if e.claimed == nil {
-		return false
-	}
-	view := e.claimed.View(e.request.Model, now)
-	return !view.Left && !view.Leaving && !view.Loading && !view.InBackoff
-}
-
 // claim chooses the engine at which the request waits for its turn: the best of a few, so
 // that those who wait spread over the engines.
 func (r *Relayer) claim(e *exchange, now time.Time) {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -16,10 +16,13 @@
 	// instances tell each other.
 	settleTime = 150 * time.Millisecond
 	// claimLife is how long a claim lasts that is not renewed.
-	claimLife = 200 * time.Millisecond
+	claimLife = 300 * time.Millisecond
 	// maxOvertaking is how many times its own size a prompt that waits may be overtaken by
 	// later ones.
 	maxOvertaking = 4
+	// maxHold is how long a prompt that is due holds others back. One that finds no room
+	// meanwhile, beside short requests, is overtaken again.
+	maxHold = time.Second
 )
 
 // Request asks for room for a prompt.
@@ -64,11 +67,22 @@
 	expiresAt time.Time
 	// overtakenTokens is the size of the later prompts that got room since.
 	overtakenTokens int
+	// heldUntil is until when it holds others back once it is due.
+	heldUntil time.Time
 }
 
 // due reports whether the prompt may not be overtaken any more.
 func (c claim) due() bool { return c.overtakenTokens >= maxOvertaking*c.tokens }
 
+// overtake counts a prompt that got room before the one that waits.
+func (c *claim) overtake(tokens int, now time.Time) {
+	wasDue := c.due()
+	c.overtakenTokens += tokens
+	if c.due() && !wasDue {
+		c.heldUntil = now.Add(maxHold)
+	}
+}
+
 // Take asks for room at an engine whose running requests hold usedTokens, as far as the
 // instance knows, and returns whether there is room now.
 func (r Reserver) Take(request Request, usedTokens int, now time.Time) (Reserver, bool) {
@@ -84,7 +98,7 @@
 	}
 	next.claims = slices.DeleteFunc(next.claims, func(c claim) bool { return c.id == request.ID })
 	for i := range next.claims {
-		next.claims[i].overtakenTokens += request.Tokens
+		next.claims[i].overtake(request.Tokens, now)
 	}
 	next.grants = append(next.grants, grant{tokens: request.Tokens, settledAt: now.Add(settleTime)})
 	return next, true
@@ -131,10 +145,16 @@
 
 // withoutExpired returns a copy without what has expired at now.
 func (r Reserver) withoutExpired(now time.Time) Reserver {
-	return Reserver{
+	next := Reserver{
 		grants: slices.DeleteFunc(slices.Clone(r.grants), func(g grant) bool { return !now.Before(g.settledAt) }),
 		claims: slices.DeleteFunc(slices.Clone(r.claims), func(c claim) bool { return !now.Before(c.expiresAt) }),
 	}
+	for i := range next.claims {
+		if waiting := &next.claims[i]; waiting.due() && !now.Before(waiting.heldUntil) {
+			waiting.overtakenTokens = 0
+		}
+	}
+	return next
 }
 
 func later(a, b time.Time) time.Time {
