Refuse a waiting request as soon as it has too many before it

What callers saw: a request for an endpoint with a limit was refused after half of its time, though it was known long before that it could not be sent.

Cause: whether a request can be sent in time was decided once, when it began to wait, by the queue at that moment. Requests that were received before it, or are more urgent, may begin to wait later and go first; it then waited for its turn, which does not come in time, until half of its time was over. In the trace five requests had 5 before them as they began to wait, and then others came before them; all five were refused at 1.21 to 1.26 s.

Now the decision is made again at each check for all that wait.

Ruled out: that the check measures the speed of the machine. The 40 requests were placed within 10 ms of 400; a slower machine only mixes their order more. Since the bound of 400 ms is wall time all the same, the new test has synthetic time and allows none to be late.

--- a/relayer/place.go
+++ b/relayer/place.go
@@ -43,7 +43,10 @@
 		if !now.Before(giveUpAt) {
 			return refuser.New(refuser.Overloaded, judge.NotRun, "no endpoint had room for %d ms", now.Sub(startedAt).Milliseconds()).WithRetryAt(r.retryAt(e.request.Pool.Name, now))
 		}
-		if queue.Ahead(ticket, now) > 0 {
+		if ahead := queue.Ahead(ticket, now); ahead > 0 {
+			if refusal := r.refuseHeld(e, ahead, giveUpAt); refusal != nil {
+				return refusal
+			}
 			continue
 		}
 		if refusal := r.place(ctx, e, false); refusal != nil || !e.mustWait() {
--- a/relayer/place_test.go
+++ b/relayer/place_test.go
@@ -21,14 +21,16 @@
 	"wisteriadrum/router"
 )
 
-// Guards against requests that ask for permits at the same time and each take a later turn,
-// which kept the endpoint idle.
+// Guards against requests that wait for an endpoint with a limit for half of their time
+// although others, which were received before them, begin to wait later, and against asks
+// at the same time that each take a later turn.
 func TestUnservableRequestsAreRefusedAtOnce(t *testing.T) {
 	for name, mostDelay := range map[string]time.Duration{"at the same time": 0, "in another order": 8 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				served, _ := burst(t, 40, 5, mostDelay)
+				served, late := burst(t, 40, 5, mostDelay)
 				assert.Equal(t, served, int32(7))
+				assert.Equal(t, late, int32(0))
 			})
 		})
 	}
