Tell how old a table is by a clock of the store that is never behind

What callers would see: a change comes into force late (CONFIG, DRAIN) at an instance of a large fleet whose only answers of the store were slow.

Cause: the estimate of the store's clock is behind by the shortest time that an answer took. That is the safe side for leases and the wrong one for ages: what another instance knows up to a time counted as known up to that much later, and a late answer as that much younger. An instance that starts while the store is slow and then learns the tables from its hub makes no further call, so that the error stays.

The synchronizer now has both bounds, Latest never behind; ages use that one.

TestEstimateIsNeverAhead asserted the age by the estimate that is behind, which is wrong: it must not be shorter than the true age. It now asserts the true age, as strictly.

--- a/informer/informer.go
+++ b/informer/informer.go
@@ -47,18 +47,21 @@
 	// newerPeers receives peers that have newer versions.
 	newerPeers chan newerPeer
 	storeNow   func() (time.Time, bool)
-	count      *counter.Counter
-	log        *zap.Logger
+	// storeLatest returns a time that the clock of the store has not passed.
+	storeLatest func() (time.Time, bool)
+	count       *counter.Counter
+	log         *zap.Logger
 	// awaitUntil is when the feeders poll the store if no source was found, in Unix
 	// nanoseconds. hadSource means that there was one.
 	awaitUntil atomic.Int64
 	hadSource  atomic.Bool
 }
 
-// New returns an informer of the tables that feeders follow. storeNow returns the time by
-// the clock of the store, false while it is unknown.
-func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), storeNow func() (time.Time, bool), count *counter.Counter, log *zap.Logger) *Informer {
-	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan newerPeer, 1), storeNow: storeNow, count: count, log: log}
+// New returns an informer of the tables that feeders follow. storeNow returns a time that the
+// clock of the store has reached and storeLatest one that it has not passed, false while it
+// is unknown.
+func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), storeNow, storeLatest func() (time.Time, bool), count *counter.Counter, log *zap.Logger) *Informer {
+	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan newerPeer, 1), storeNow: storeNow, storeLatest: storeLatest, count: count, log: log}
 }
 
 // Versions returns the versions of the last changes of the tables at this
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -143,7 +143,7 @@
 	count := counter.New(metrics.NewRegistry())
 	i.feed = feeder.New(table, "table", 0, i.apply, count, zap.NewNop())
 	dial := func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
-	i.inform = informer.New([]*feeder.Feeder{i.feed}, dial, wallClock, count, zap.NewNop())
+	i.inform = informer.New([]*feeder.Feeder{i.feed}, dial, wallClock, wallClock, count, zap.NewNop())
 	go func() { _ = i.inform.Serve(listener) }()
 	go i.feed.Run(t.Context())
 	go i.inform.Run(t.Context(), i.sourceAddress)
@@ -299,7 +299,7 @@
 	count := counter.New(metrics.NewRegistry())
 	other := feeder.New(failed, "other", 0, func([]feeder.Row, bool, time.Time) {}, count, zap.NewNop())
 	dial := func(address string) (net.Conn, error) { return net.Dial("tcp", address) }
-	both := informer.New([]*feeder.Feeder{second.feed, other}, dial, wallClock, count, zap.NewNop())
+	both := informer.New([]*feeder.Feeder{second.feed, other}, dial, wallClock, wallClock, count, zap.NewNop())
 	go both.Run(t.Context(), func() string { return "" })
 	both.CatchUpFrom(first.address, []uint64{first.inform.Versions()[0], 0})
 	go func() {
@@ -311,6 +311,21 @@
 	eventually(t, "the second instance has received the table", second.hasRows(map[string]string{"a": "1"}))
 }
 
+// Guards against a table that is taken for complete up to a later time than the sender knows
+// it, by an instance whose only answers of the store were slow.
+func TestCompleteByASlowClock(t *testing.T) {
+	const slow = 800 * time.Millisecond
+	behind := func() (time.Time, bool) { return time.Now().Add(-slow), true }
+	count := counter.New(metrics.NewRegistry())
+	feed := feeder.New(newStore(), "table", 2000, func([]feeder.Row, bool, time.Time) {}, count, zap.NewNop())
+	i := informer.New([]*feeder.Feeder{feed}, nil, behind, wallClock, count, zap.NewNop())
+	assert.Assert(t, feed.ApplyFromPeer(feeder.Page{Version: 5, Whole: true}))
+	complete := time.Now().Add(-time.Second)
+	assert.Assert(t, !i.Compare([]uint64{5}, []int64{complete.UnixMilli()}))
+	_, known := feed.Known()
+	assert.Assert(t, !known.After(complete), "%s too late", known.Sub(complete))
+}
+
 // Guards against calls to the store while an instance of a large fleet waits for its
 // first source, and against waiting longer than allowed.
 func TestWaitForTheFirstSource(t *testing.T) {
--- a/informer/known.go
+++ b/informer/known.go
@@ -22,14 +22,14 @@
 // whether a table has changes there that are missing here.
 func (i *Informer) Compare(changes []uint64, complete []int64) bool {
 	missing := false
-	storeNow, hasClock := i.storeNow()
+	storeLatest, hasClock := i.storeLatest()
 	for index, feed := range i.feeders {
 		if index >= len(changes) {
 			break
 		}
 		var completeAt time.Time
 		if index < len(complete) && complete[index] > 0 && hasClock {
-			age := max(0, storeNow.Sub(time.UnixMilli(complete[index])))
+			age := max(0, storeLatest.Sub(time.UnixMilli(complete[index])))
 			completeAt = time.Now().Add(-age)
 		}
 		missing = feed.Compare(changes[index], completeAt) || missing
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -230,7 +230,8 @@
 func newRoller(name string, incarnation int64, conn net.PacketConn, state *registrar.Registrar, engines *fleet, table tabler.Table, tableNow tableClock) (*roller.Roller, *sharer.Sharer) {
 	count := counter.New(metrics.NewRegistry())
 	self := sharer.Peer{Name: name, DataCentre: name, Address: conn.LocalAddr().String()}
-	stateSharer := sharer.New(self, incarnation, 500, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, func() (time.Time, bool) { return time.Time{}, false }, count, zap.NewNop()), count, zap.NewNop(), time.Now)
+	noClock := func() (time.Time, bool) { return time.Time{}, false }
+	stateSharer := sharer.New(self, incarnation, 500, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, noClock, noClock, count, zap.NewNop()), count, zap.NewNop(), time.Now)
 	lease := leaser.New(table, "lease", fmt.Sprintf("%s@%d", name, incarnation), leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, tableNow)
 	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -123,6 +123,8 @@
 	// StoreNow returns the time by the clock of the platform's store, which may be
 	// behind it but never ahead, and false while it is unknown.
 	StoreNow func() (time.Time, bool)
+	// StoreLatest is the same for a time that may be ahead but never behind.
+	StoreLatest func() (time.Time, bool)
 	// MonotonicNow returns the time of a clock that continues while the process
 	// is suspended.
 	MonotonicNow func() time.Time
@@ -160,7 +162,7 @@
 	for _, table := range deps.Tables {
 		r.feeders = append(r.feeders, feeder.New(deps.Source, table.Name, table.BoundMillis, table.Apply, count, log))
 	}
-	r.informer = informer.New(r.feeders, deps.Dial, deps.StoreNow, count, log)
+	r.informer = informer.New(r.feeders, deps.Dial, deps.StoreNow, deps.StoreLatest, count, log)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	r.permitter = permitter.New(r.sharer.PermitHome, deps.Dial, count, time.Now)
--- a/synchronizer/synchronizer.go
+++ b/synchronizer/synchronizer.go
@@ -7,17 +7,19 @@
 	"time"
 )
 
-// Synchronizer estimates a remote clock. While both clocks run alike, the estimate is
-// never ahead, and behind by the shortest time that an answer took. A remote clock that
-// runs slower or starts anew is noticed with the next answer.
+// Synchronizer estimates a remote clock by two bounds. While both clocks run alike, Now is
+// never ahead, and behind by the shortest time that an answer took; Latest is never behind,
+// and ahead by the shortest time that a request took. A remote clock that runs at another
+// rate or starts anew is noticed with the next answer.
 type Synchronizer struct {
 	now func() time.Time
 
 	mu sync.Mutex
 	// offset is the largest difference between the remote time in an answer and the
-	// local time at which it was received.
-	offset   time.Duration
-	observed bool
+	// local time at which it was received, and maxOffset the smallest one between that
+	// time and the local time at which the request was sent.
+	offset, maxOffset time.Duration
+	observed          bool
 }
 
 // New returns a synchronizer without an estimate. now is a monotonic clock that
@@ -32,22 +34,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.observed || offset > s.offset || s.offset > maxOffset {
-		s.offset, s.observed = offset, true
+		s.offset = offset
 	}
+	if !s.observed || maxOffset < s.maxOffset || s.maxOffset < offset {
+		s.maxOffset = maxOffset
+	}
+	s.observed = true
 }
 
-// Age returns how long ago it was the remote time, 0 before the first answer.
+// Age returns how long ago it was the remote time at most, 0 before the first answer.
 func (s *Synchronizer) Age(remote time.Time) time.Duration {
-	now, known := s.Now()
+	latest, known := s.Latest()
 	if !known {
 		return 0
 	}
-	return max(0, now.Sub(remote))
+	return max(0, latest.Sub(remote))
 }
 
-// Now returns the estimated remote time, and false before the first answer.
+// Now returns a remote time that has been reached, and false before the first answer.
 func (s *Synchronizer) Now() (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.now().Add(s.offset), s.observed
 }
+
+// Latest returns a remote time that has not been passed, and false before the first answer.
+func (s *Synchronizer) Latest() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now().Add(s.maxOffset), s.observed
+}
--- a/synchronizer/synchronizer_test.go
+++ b/synchronizer/synchronizer_test.go
@@ -9,7 +9,8 @@
 	"wisteriadrum/synchronizer"
 )
 
-// Guards against an estimate that is ahead of the remote clock, after slow answers too.
+// Guards against an estimate that is ahead of the remote clock, after slow answers too, and
+// against an age that is shorter than the true one.
 func TestEstimateIsNeverAhead(t *testing.T) {
 	local, remote := time.Unix(1000, 0), time.UnixMilli(70)
 	clock := synchronizer.New(func() time.Time { return local })
@@ -27,14 +28,14 @@
 		estimate, known := clock.Now()
 		assert.Assert(t, known)
 		assert.Equal(t, remote.Sub(estimate), behind)
-		assert.Equal(t, clock.Age(sent), time.Second+latency*time.Millisecond-behind)
+		assert.Equal(t, clock.Age(sent), time.Second+latency*time.Millisecond)
 	}
 }
 
-// Guards against an estimate that stays ahead of a remote clock which runs slower, halts
-// or starts anew.
+// Guards against estimates that stay wrong for a remote clock which runs at another rate,
+// halts or starts anew.
 func TestSlowRemoteClock(t *testing.T) {
-	for name, rate := range map[string]float64{"slow": 0.99, "halted": 0, "backward": -1} {
+	for name, rate := range map[string]float64{"slow": 0.99, "fast": 1.1, "halted": 0, "backward": -1} {
 		t.Run(name, func(t *testing.T) {
 			local, remote := time.Unix(1000, 0), time.Unix(500, 0)
 			clock := synchronizer.New(func() time.Time { return local })
@@ -44,6 +45,8 @@
 				clock.Observe(sent, sentAt)
 				estimate, _ := clock.Now()
 				assert.Assert(t, estimate.Sub(remote) <= 10*time.Millisecond, "%s ahead", estimate.Sub(remote))
+				latest, _ := clock.Latest()
+				assert.Assert(t, !latest.Before(remote), "%s behind", remote.Sub(latest))
 				local, remote = local.Add(time.Second), remote.Add(time.Duration(rate*float64(time.Second)))
 			}
 		})
