--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -17,9 +17,6 @@
 	settleTime = 150 * time.Millisecond
 	// claimLife is how long a claim lasts that is not renewed.
 	claimLife = 300 * time.Millisecond
-	// maxOvertaking is how many times its own size a prompt that waits may be overtaken by
-	// later ones.
-	maxOvertaking = 4
 	// maxHold is how long a prompt that is due holds others back. One that finds no room
 	// meanwhile, beside short requests, is overtaken again.
 	maxHold = time.Second
@@ -71,8 +68,9 @@
 	heldUntil time.Time
 }
 
-// due reports whether the prompt may not be overtaken any more.
-func (c claim) due() bool { return c.overtakenTokens >= maxOvertaking*c.tokens }
+// due reports whether the prompt may not be overtaken any more: after later ones of its
+// own size.
+func (c claim) due() bool { return c.overtakenTokens >= c.tokens }
 
 // overtake counts a prompt that got room before the one that waits.
 func (c *claim) overtake(tokens int, now time.Time) {
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -57,7 +57,7 @@
 		} else {
 			e.running = max(0, e.running-10000)
 		}
-		assert.Assert(t, overtaken <= 4*35000+10000, "%d tokens went first", overtaken)
+		assert.Assert(t, overtaken <= 35000+10000, "%d tokens went first", overtaken)
 	}
 }
 
@@ -77,8 +77,8 @@
 		t.Run(name, func(t *testing.T) {
 			e := &engine{now: start, running: 10000}
 			assert.Assert(t, !e.take(1, 35000, 1))
-			for id := range uint64(4 * 7) {
-				assert.Assert(t, e.take(100+id, 5000, 1), "overtaken by less than four times its size")
+			for id := range uint64(7) {
+				assert.Assert(t, e.take(100+id, 5000, 1), "overtaken by less than its size")
 				e.now = e.now.Add(160 * time.Millisecond)
 				assert.Assert(t, !e.take(1, 35000, 1))
 			}
