--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -6,12 +6,12 @@
 
 // Shares of the grace period, as divisors of it.
 const (
-	// acceptShare bounds the time for which new connections are accepted.
-	acceptShare = 2
-	// answerShare is reserved at the end for the answers to what is still in progress.
-	answerShare = 8
-	// exitShare is reserved at the end for leaving the fleet.
-	exitShare = 16
+	// acceptDivisor gives the part of the grace period in which new connections are accepted.
+	acceptDivisor = 2
+	// answerDivisor gives the part at its end for the answers to what is still in progress.
+	answerDivisor = 8
+	// exitDivisor gives the part at its end for leaving the fleet.
+	exitDivisor = 16
 )
 
 // Drainer holds the instants of a planned stop.
@@ -23,9 +23,9 @@
 // grace; the load balancer sends it new connections for balancerWait.
 func New(stoppedAt time.Time, grace, balancerWait time.Duration) Drainer {
 	return Drainer{
-		acceptUntil: stoppedAt.Add(min(balancerWait, grace/acceptShare)),
-		answerBy:    stoppedAt.Add(grace - grace/answerShare),
-		exitBy:      stoppedAt.Add(grace - grace/exitShare),
+		acceptUntil: stoppedAt.Add(min(balancerWait, grace/acceptDivisor)),
+		answerBy:    stoppedAt.Add(grace - grace/answerDivisor),
+		exitBy:      stoppedAt.Add(grace - grace/exitDivisor),
 	}
 }
 
--- a/sharer/home.go
+++ b/sharer/home.go
@@ -6,10 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// PermitHome returns the address of the instance that counts the requests to the endpoint
-// with a key, and whether it is this one: the live hub with the highest hash of both names.
+// Home returns the address of the instance that decides for all about the endpoint or
+// prompt with a key, and whether it is this one: the live hub with the highest hash of both
+// names.
 // An instance that reports to a hub gets the address of that hub, which forwards requests.
-func (s *Sharer) PermitHome(key uint64) (address string, local bool) {
+func (s *Sharer) Home(key uint64) (address string, local bool) {
 	s.mu.Lock()
 	if hub := s.peers[s.self.hub]; hub != nil {
 		defer s.mu.Unlock()
