--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,7 +18,6 @@
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
 	"wisteriadrum/monitor"
-	"wisteriadrum/placer"
 	"wisteriadrum/pooler"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/queuer"
@@ -176,42 +175,6 @@
 	return queue
 }
 
-// exchange is the state of one request and its answer over all attempts.
-type exchange struct {
-	request  *requester.Request
-	answer   *responder.Responder
-	deadline time.Time
-	tried    []*monitor.Monitor
-	// sends counts all sends, runs those after which the request may have run.
-	sends, runs int
-	// retryReserved reports that the next send was already taken from the
-	// budget.
-	retryReserved bool
-	// lastEventID is the id of the last event that was relayed.
-	lastEventID string
-	choice      placer.Choice
-	// roomless are the endpoints that had no room when asked for it lately.
-	roomless []*monitor.Monitor
-	// claimed is the engine at which the request waits for its turn, roomID identifies it
-	// there. sampling means that the engine is being chosen.
-	claimed  *monitor.Monitor
-	roomID   uint64
-	sampling bool
-	// claimAsked reports that the last choice led to the claimed engine.
-	claimAsked bool
-	// waited is how long the request waited for an engine with room.
-	waited time.Duration
-	// firstMillis is the time to the first relayed event in milliseconds.
-	firstMillis int
-	// endpoint is the chosen endpoint, source the one to fetch cached parts
-	// from.
-	endpoint, source *monitor.Monitor
-	// loss is how the last attempt lost its connection, nil if it did not.
-	loss *loss
-	// turn is the right to send the request, nil if it needs none.
-	turn *turn
-}
-
 // Run sends request to an endpoint and relays the answer. It returns the
 // refusal with which the request ended, or nil after a complete answer. ctx is
 // cancelled when the caller disconnects.
@@ -297,16 +260,6 @@
 	return true
 }
 
-// hasTried reports whether an earlier attempt used endpoint.
-func (e *exchange) hasTried(endpoint *monitor.Monitor) bool {
-	for _, tried := range e.tried {
-		if tried == endpoint {
-			return true
-		}
-	}
-	return false
-}
-
 // endToEndFields returns the header fields of an endpoint's answer without the
 // hop-by-hop fields.
 func endToEndFields(head *framer.Head) []framer.Field {
