--- a/granter/granter.go
+++ b/granter/granter.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wisteriadrum/asker"
 	"wisteriadrum/counter"
 	"wisteriadrum/reserver"
@@ -39,11 +41,13 @@
 	// home returns the address of the instance to ask about an engine, which is its home
 	// or forwards the request, and whether this instance is the home.
 	home func(key uint64) (address string, local bool)
-	// runningTokens returns the KV memory that running requests hold at an engine.
-	runningTokens func(key uint64) int
-	asker         *asker.Asker
-	count         *counter.Counter
-	now           func() time.Time
+	// engine returns the name of an engine and the KV memory that running requests hold
+	// there.
+	engine func(key uint64) (name string, runningTokens int)
+	asker  *asker.Asker
+	count  *counter.Counter
+	log    *zap.Logger
+	now    func() time.Time
 
 	mu        sync.Mutex
 	reservers map[uint64]reserver.Reserver
@@ -53,11 +57,11 @@
 }
 
 // New returns a granter. home returns the address of the home of the engine with a key and
-// whether that is this instance, runningTokens the KV memory that running requests hold
-// there.
-func New(home func(key uint64) (address string, local bool), dial func(address string) (net.Conn, error), runningTokens func(key uint64) int, count *counter.Counter, now func() time.Time) *Granter {
+// whether that is this instance, engine its name and the KV memory that running requests
+// hold there.
+func New(home func(key uint64) (address string, local bool), dial func(address string) (net.Conn, error), engine func(key uint64) (name string, runningTokens int), count *counter.Counter, log *zap.Logger, now func() time.Time) *Granter {
 	return &Granter{
-		home: home, asker: asker.New(service+".Decide", dial), runningTokens: runningTokens, count: count, now: now,
+		home: home, asker: asker.New(service+".Decide", dial), engine: engine, count: count, log: log, now: now,
 		reservers: map[uint64]reserver.Reserver{}, silentUntil: map[uint64]time.Time{},
 	}
 }
@@ -95,16 +99,34 @@
 
 // grant decides a request as the home of the engine.
 func (g *Granter) grant(ask Ask) bool {
-	running := g.runningTokens(ask.Key)
+	name, running := g.engine(ask.Key)
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.prune(now)
 	next, granted := g.reservers[ask.Key].Take(ask.Room, running, now)
 	g.reservers[ask.Key] = next
+	g.recordEnded(name, next.Ended(), now)
 	return granted
 }
 
+// recordEnded counts and logs claims that have ended at an engine.
+func (g *Granter) recordEnded(engine string, ended []reserver.End, now time.Time) {
+	for _, claim := range ended {
+		if claim.Granted {
+			g.count.Add("room", "turn")
+		} else {
+			g.count.Add("room", "expired")
+		}
+		dueFor := time.Duration(0)
+		if !claim.DueAt.IsZero() {
+			dueFor = now.Sub(claim.DueAt)
+		}
+		g.log.Info("claim ended", zap.String("endpoint", engine), zap.Int("prompt", claim.Tokens), zap.Int("priority", claim.Priority), zap.Bool("granted", claim.Granted),
+			zap.Int64("waited", now.Sub(claim.ClaimedAt).Milliseconds()), zap.Int64("due", dueFor.Milliseconds()), zap.Int("holds", claim.Holds))
+	}
+}
+
 // prune drops the reservers that keep nothing any more. The caller holds the lock.
 func (g *Granter) prune(now time.Time) {
 	if now.Before(g.pruneAt) {
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"wisteriadrum/counter"
@@ -32,7 +33,7 @@
 	f.clock.Store(int64(time.Hour))
 	for n := range 3 {
 		home := func(uint64) (string, bool) { return fmt.Sprint("n", n-1), n == 0 }
-		f.granters[fmt.Sprint("n", n)] = granter.New(home, f.dial, func(uint64) int { return 5000 }, counter.New(metrics.NewRegistry()), f.now)
+		f.granters[fmt.Sprint("n", n)] = granter.New(home, f.dial, func(uint64) (string, int) { return "e", 5000 }, counter.New(metrics.NewRegistry()), zap.NewNop(), f.now)
 	}
 	return f
 }
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -32,6 +32,8 @@
 	sampling bool
 	// claimAsked reports that the last choice led to the claimed engine.
 	claimAsked bool
+	// roomAsks is how often it asked for room, claims at how many engines it waited.
+	roomAsks, claims int
 	// waited is how long the request waited for an engine with room.
 	waited time.Duration
 	// firstMillis is the time to the first relayed event in milliseconds.
--- a/relayer/record.go
+++ b/relayer/record.go
@@ -71,7 +71,7 @@
 		return fields
 	}
 	fields = append(fields, zap.Int("weights", view.Weights), zap.Int("newest", r.deps.Registrar.Versions(e.request.Model).Newest()), zap.Bool("outdated", e.choice.Outdated),
-		zap.Int("prompt", e.request.PromptTokens), zap.Int("unread", e.choice.PrefillTokens), zap.Int("memory", view.Load.KVTokens), zap.Int("queued", view.Load.PrefillTokens))
+		zap.Int("prompt", e.request.PromptTokens), zap.Int("unread", e.choice.PrefillTokens), zap.Int("memory", view.Load.KVTokens), zap.Int("queued", view.Load.PrefillTokens), zap.Int("asks", e.roomAsks), zap.Int("claims", e.claims))
 	if e.source != nil {
 		fields = append(fields, zap.String("source", e.source.Entry().Name))
 	}
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -17,6 +17,7 @@
 		Priority: e.request.Priority(), Claims: e.endpoint == e.claimed,
 	}
 	e.claimAsked = e.claimAsked || request.Claims
+	e.roomAsks++
 	if r.deps.TakeRoom(e.endpoint.Key, request) {
 		return true
 	}
@@ -40,6 +41,7 @@
 	e.claimed, e.sampling = nil, true
 	if r.choose(e, false, now) == nil {
 		e.claimed = e.endpoint
+		e.claims++
 	}
 	e.sampling = false
 	e.choice, e.endpoint, e.source = choice, endpoint, source
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -46,8 +46,20 @@
 // Reserver holds the granted room and the claims of one engine. It is immutable.
 type Reserver struct {
 	grants []grant
-	// claims are in the order of their turns.
+	// claims are in the order of their turns, ended those that ended in the last call.
 	claims []claim
+	ended  []End
+}
+
+// End describes a claim that has ended.
+type End struct {
+	Tokens, Priority int
+	// ClaimedAt is when the prompt began to wait, DueAt when it was due first, zero if it
+	// never was. Holds is how often it held others back.
+	ClaimedAt, DueAt time.Time
+	Holds            int
+	// Granted reports that the prompt got room; otherwise its claim was not renewed.
+	Granted bool
 }
 
 // grant is room for one prompt, until settledAt.
@@ -61,11 +73,19 @@
 	id        uint64
 	tokens    int
 	priority  int
+	claimedAt time.Time
 	expiresAt time.Time
 	// overtakenTokens is the size of the later prompts that got room since.
 	overtakenTokens int
 	// heldUntil is until when it holds others back once it is due.
 	heldUntil time.Time
+	dueAt     time.Time
+	holds     int
+}
+
+// end returns the description of the claim after its end.
+func (c claim) end(granted bool) End {
+	return End{Tokens: c.tokens, Priority: c.priority, ClaimedAt: c.claimedAt, DueAt: c.dueAt, Holds: c.holds, Granted: granted}
 }
 
 // due reports whether the prompt may not be overtaken any more: after later ones of its
@@ -78,6 +98,10 @@
 	c.overtakenTokens += tokens
 	if c.due() && !wasDue {
 		c.heldUntil = now.Add(maxHold)
+		c.holds++
+		if c.dueAt.IsZero() {
+			c.dueAt = now
+		}
 	}
 }
 
@@ -94,7 +118,7 @@
 		}
 		return next, false
 	}
-	next.claims = slices.DeleteFunc(next.claims, func(c claim) bool { return c.id == request.ID })
+	next.end(true, func(c claim) bool { return c.id == request.ID })
 	for i := range next.claims {
 		next.claims[i].overtake(request.Tokens, now)
 	}
@@ -102,6 +126,19 @@
 	return next, true
 }
 
+// Ended returns the claims that ended in the last call of Take.
+func (r Reserver) Ended() []End { return r.ended }
+
+// end removes the claims of which has is true.
+func (r *Reserver) end(granted bool, has func(claim) bool) {
+	for _, waiting := range r.claims {
+		if has(waiting) {
+			r.ended = append(r.ended, waiting.end(granted))
+		}
+	}
+	r.claims = slices.DeleteFunc(r.claims, has)
+}
+
 // SettledAt returns when nothing is kept any more.
 func (r Reserver) SettledAt() time.Time {
 	var last time.Time
@@ -136,7 +173,7 @@
 			return
 		}
 	}
-	added := claim{id: request.ID, tokens: request.Tokens, priority: request.Priority, expiresAt: expiresAt}
+	added := claim{id: request.ID, tokens: request.Tokens, priority: request.Priority, claimedAt: now, expiresAt: expiresAt}
 	at, _ := slices.BinarySearchFunc(r.claims, added.priority+1, func(c claim, priority int) int { return cmp.Compare(c.priority, priority) })
 	r.claims = slices.Insert(r.claims, at, added)
 }
@@ -145,8 +182,9 @@
 func (r Reserver) withoutExpired(now time.Time) Reserver {
 	next := Reserver{
 		grants: slices.DeleteFunc(slices.Clone(r.grants), func(g grant) bool { return !now.Before(g.settledAt) }),
-		claims: slices.DeleteFunc(slices.Clone(r.claims), func(c claim) bool { return !now.Before(c.expiresAt) }),
+		claims: slices.Clone(r.claims),
 	}
+	next.end(false, func(c claim) bool { return !now.Before(c.expiresAt) })
 	for i := range next.claims {
 		if waiting := &next.claims[i]; waiting.due() && !now.Before(waiting.heldUntil) {
 			waiting.overtakenTokens = 0
--- a/runner/engines.go
+++ b/runner/engines.go
@@ -61,11 +61,12 @@
 	return endpoint
 }
 
-// runningTokens returns the KV memory that running requests hold at an engine.
-func (r *Runner) runningTokens(key uint64) int {
+// engine returns the name of an engine and the KV memory that running requests hold there.
+func (r *Runner) engine(key uint64) (name string, runningTokens int) {
 	engine := r.registrar.Fleet().ByKey(key)
 	if engine == nil {
-		return 0
+		return "", 0
 	}
-	return engine.View("", time.Now()).Load.KVTokens
+	view := engine.View("", time.Now())
+	return view.Entry.Name, view.Load.KVTokens
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -170,7 +170,7 @@
 	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	r.permitter = permitter.New(r.sharer.Home, deps.Dial, count, time.Now)
 	incarnation := options.Name + "@" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	r.granter = granter.New(r.sharer.Home, deps.Dial, r.runningTokens, count, time.Now)
+	r.granter = granter.New(r.sharer.Home, deps.Dial, r.engine, count, log, time.Now)
 	r.admitter = admitter.New(incarnation, r.sharer.Home, deps.Dial, detect, count, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
