--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -228,14 +228,16 @@
 }
 
 // RecordReset records that a connection to the endpoint was reset while it accepts
-// others. Resets of several connections at one moment count as one failure.
-func (m *Monitor) RecordReset(now time.Time) {
+// others, or refused, and reports whether that counts as a failure. Those of several
+// connections, or at several instances, at one moment count as one.
+func (m *Monitor) RecordReset(now time.Time) bool {
 	m.mu.Lock()
 	inBackoff := m.backoffUntil.After(now)
 	m.mu.Unlock()
 	if !inBackoff {
 		m.RecordFailure(now)
 	}
+	return !inBackoff
 }
 
 // View is a snapshot of an endpoint's state for placing one request.
--- a/monitor/said.go
+++ b/monitor/said.go
@@ -8,11 +8,11 @@
 )
 
 // MarkLeaving records that the endpoint leaves and must get no requests from
-// deadline on. The deadline of an earlier call stands.
+// deadline on. The earliest deadline stands.
 func (m *Monitor) MarkLeaving(deadline time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.leavingUntil.IsZero() {
+	if m.leavingUntil.IsZero() || deadline.Before(m.leavingUntil) {
 		m.leavingUntil = deadline
 	}
 }
--- /dev/null
+++ b/relayer/address.go
@@ -0,0 +1,38 @@
+package relayer
+
+import (
+	"errors"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"wisteriadrum/monitor"
+)
+
+// recordDialFailure records that an endpoint could not be dialled. That nothing listens
+// there holds for all instances; another failure may be due to this one's network.
+func (r *Relayer) recordDialFailure(endpoint *monitor.Monitor, err error) {
+	now := r.deps.Now()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		endpoint.RecordFailure(now)
+		return
+	}
+	if !endpoint.RecordReset(now) {
+		return
+	}
+	r.deps.Count.Add("endpoints", "refusing")
+	r.deps.Log.Info("nothing listens at this address", zap.String("endpoint", endpoint.Entry().Name))
+	r.deps.AnnounceRefusing(endpoint)
+}
+
+// recordTaken records that another endpoint answers at the address of an attempt's endpoint.
+func (r *Relayer) recordTaken(a *attempt, found string) {
+	now := r.deps.Now()
+	if a.endpoint.Left(now) {
+		return // other requests found it before
+	}
+	a.endpoint.MarkLeaving(now)
+	r.deps.Count.Add("endpoints", "taken")
+	r.deps.Log.Warn("another endpoint answers at this address", zap.String("endpoint", a.entry.Name), zap.String("found", found))
+	r.deps.AnnounceTaken(a.endpoint)
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"wisteriadrum/detector"
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
@@ -83,7 +81,7 @@
 	}
 	conn, err := r.deps.Pool.Get(a.entry.Address, false)
 	if err != nil {
-		e.endpoint.RecordFailure(r.deps.Now())
+		r.recordDialFailure(e.endpoint, err)
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "dial endpoint %s: %s", a.entry.Name, err)
 	}
 	a.conn = conn
@@ -221,13 +219,13 @@
 	if head.Length != framer.UntilClose { // otherwise the connection is closed in any case
 		_, err = head.ReadBody(a.conn.Reader, maxStrayBytes)
 	}
+	taken := response.WrongTarget && response.Endpoint != "" && response.Endpoint != a.entry.Name
 	if !response.WrongTarget || a.weights == a.endpoint.Weights(a.request.Model) {
 		a.endpoint.RecordFailure(r.deps.Now())
 	}
 	switch {
-	case response.WrongTarget && response.Endpoint != "" && response.Endpoint != a.entry.Name:
-		a.endpoint.MarkLeaving(r.deps.Now())
-		r.deps.Log.Warn("another endpoint answers at this address", zap.String("endpoint", a.entry.Name), zap.String("found", response.Endpoint))
+	case taken:
+		r.recordTaken(a, response.Endpoint)
 	case response.WrongTarget && a.weights > 0:
 		r.deps.QueryWeights(a.endpoint)
 	}
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -115,31 +115,39 @@
 		r.deps.Pool.Drop(a.entry.Address)
 	}
 	lost := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err)
-	switch {
-	case lost && r.accepts(a.entry.Address):
-		a.endpoint.RecordReset(now)
-		a.loss = &loss{begun: a.begun}
-	case lost:
-		a.endpoint.RecordFailure(now)
-		crash := quarantiner.Crash{Endpoint: a.entry.Name, Incarnation: strconv.FormatInt(a.entry.Incarnation, 10)}
-		r.deps.AnnounceCrash(r.deps.Quarantine.RecordCrash(a.request.Fingerprint, crash, now))
-		r.recordCrash(a, now)
-	default:
+	if lost {
+		r.recordLoss(a, now)
+	} else {
 		a.endpoint.RecordFailure(now)
 	}
 	return refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "endpoint %s: %s", a.entry.Name, err)
 }
 
-// accepts reports whether an endpoint accepts a new connection, which is kept for
-// reuse. After a lost connection it distinguishes an endpoint that crashed from a
-// connection that was reset while its endpoint works.
-func (r *Relayer) accepts(address string) bool {
+// recordLoss records that the connection of the attempt was lost, as a crash of its
+// endpoint unless that accepts another one.
+func (r *Relayer) recordLoss(a *attempt, now time.Time) {
+	dialErr := r.redial(a.entry.Address)
+	if dialErr == nil {
+		a.endpoint.RecordReset(now)
+		a.loss = &loss{begun: a.begun}
+		return
+	}
+	r.recordDialFailure(a.endpoint, dialErr)
+	crash := quarantiner.Crash{Endpoint: a.entry.Name, Incarnation: strconv.FormatInt(a.entry.Incarnation, 10)}
+	r.deps.AnnounceCrash(r.deps.Quarantine.RecordCrash(a.request.Fingerprint, crash, now))
+	r.recordCrash(a, now)
+}
+
+// redial opens a new connection to an endpoint, which is kept for reuse. After a lost
+// connection it distinguishes an endpoint that crashed from a connection that was reset
+// while its endpoint works.
+func (r *Relayer) redial(address string) error {
 	conn, err := r.deps.Pool.Get(address, true)
 	if err != nil {
-		return false
+		return err
 	}
 	r.deps.Pool.Put(address, conn, time.Time{})
-	return true
+	return nil
 }
 
 // isNetworkError reports whether err is an error of a network operation, such
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -113,6 +113,9 @@
 	// AnnounceSaid announces to the other instances what an endpoint has said of
 	// itself. limitEnded means that it has stopped naming a limit.
 	AnnounceSaid func(endpoint *monitor.Monitor, limitEnded bool)
+	// AnnounceTaken announces to the other instances that another endpoint has the address
+	// of an endpoint, AnnounceRefusing that nothing listens there.
+	AnnounceTaken, AnnounceRefusing func(endpoint *monitor.Monitor)
 	// TakePermit asks to send a request to the endpoint with a key, which takes perSecond
 	// requests a second from all instances. It returns whether the request may be sent,
 	// and when to ask again otherwise.
--- a/sharer/events.go
+++ b/sharer/events.go
@@ -13,6 +13,9 @@
 	cases       []quarantiner.Case
 	suspects    []detector.Suspect
 	said        []said
+	// taken and refusing are the keys of endpoints whose address another one has, and
+	// where nothing listens.
+	taken, refusing []uint64
 }
 
 // add queues more events. Parts beyond two messages are dropped, since most of
@@ -25,6 +28,8 @@
 	e.emptyStores = append(e.emptyStores, more.emptyStores...)
 	e.cases = append(e.cases, more.cases...)
 	e.said = append(e.said, more.said...)
+	e.taken = append(e.taken, more.taken...)
+	e.refusing = append(e.refusing, more.refusing...)
 	room = max(0, maxQueuedSuspects-len(e.suspects))
 	e.suspects = append(e.suspects, more.suspects[:min(room, len(more.suspects))]...)
 }
@@ -45,5 +50,5 @@
 
 // urgent reports whether there are events that must be sent at once.
 func (e events) urgent() bool {
-	return len(e.weights)+len(e.emptyStores)+len(e.cases)+len(e.suspects)+len(e.said) > 0
+	return len(e.weights)+len(e.emptyStores)+len(e.cases)+len(e.suspects)+len(e.said)+len(e.taken)+len(e.refusing) > 0
 }
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -55,6 +55,9 @@
 	Suspects []detector.Suspect
 	// Said is what endpoints have said of themselves.
 	Said []said
+	// Taken are the keys of endpoints whose address another endpoint has, Refusing those
+	// of endpoints at whose address nothing listens.
+	Taken, Refusing []uint64
 }
 
 // flags are properties of the sender and of the message.
@@ -214,7 +217,7 @@
 
 // isDue reports whether the message is sent within the scope.
 func (m *message) isDue(scope scope) bool {
-	hasUrgent := len(m.Weights)+len(m.Cases)+len(m.EmptyStores)+len(m.Suspects)+len(m.Said) > 0
+	hasUrgent := len(m.Weights)+len(m.Cases)+len(m.EmptyStores)+len(m.Suspects)+len(m.Said)+len(m.Taken)+len(m.Refusing) > 0
 	switch scope {
 	case urgentOnly:
 		return hasUrgent
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -49,6 +49,8 @@
 	}
 	msg.Weights = applyWeights(msg.Weights, fleet, now)
 	msg.Said = s.applySaid(msg.Said, fleet, now)
+	msg.Taken = applyTaken(msg.Taken, fleet, now)
+	msg.Refusing = applyRefusing(msg.Refusing, fleet, now)
 	s.applyVersions(msg.Name, msg.Versions)
 	for _, key := range msg.EmptyStores {
 		if endpoint := fleet.ByKey(key); endpoint != nil {
@@ -117,6 +119,31 @@
 	return changes
 }
 
+// applyTaken removes the endpoints whose address another one has, and returns the keys of
+// those that were used until now.
+func applyTaken(keys []uint64, fleet *registrar.Fleet, now time.Time) []uint64 {
+	var changes []uint64
+	for _, key := range keys {
+		if endpoint := fleet.ByKey(key); endpoint != nil && !endpoint.Left(now) {
+			endpoint.MarkLeaving(now)
+			changes = append(changes, key)
+		}
+	}
+	return changes
+}
+
+// applyRefusing records that nothing listens at the addresses of endpoints, and returns the
+// keys of those for which that is a new failure.
+func applyRefusing(keys []uint64, fleet *registrar.Fleet, now time.Time) []uint64 {
+	var changes []uint64
+	for _, key := range keys {
+		if endpoint := fleet.ByKey(key); endpoint != nil && endpoint.RecordReset(now) {
+			changes = append(changes, key)
+		}
+	}
+	return changes
+}
+
 // applyVersions adds the announced versions of weights that a peer sent.
 func (s *Sharer) applyVersions(peer string, list []version) {
 	for _, v := range list {
@@ -176,7 +203,7 @@
 // forward queues the events of a message for the instances to which a hub
 // forwards them, and sends urgent ones at once.
 func (s *Sharer) forward(msg *message) {
-	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases, suspects: msg.Suspects, said: msg.Said}
+	received := events{parts: msg.Parts, weights: msg.Weights, emptyStores: msg.EmptyStores, cases: msg.Cases, suspects: msg.Suspects, said: msg.Said, taken: msg.Taken, refusing: msg.Refusing}
 	s.mu.Lock()
 	if !received.any() || s.self.hub != "" && msg.Hub != s.self.Name {
 		s.mu.Unlock()
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -222,7 +222,7 @@
 	msg := &message{
 		Name: s.self.Name, SenderDataCentre: s.self.DataCentre, SenderAddress: s.self.Address, Rate: s.self.Rate, Incarnation: s.self.incarnation, Seq: s.seq,
 		Flags: s.self.flags, Hub: s.self.hub,
-		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects, Said: queued.said,
+		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects, Said: queued.said, Taken: queued.taken, Refusing: queued.refusing,
 	}
 	msg.Tables, msg.Complete = s.tables.Known()
 	if table := s.registrar.Table(); table != nil {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -255,6 +255,16 @@
 	s.sendNow(events{said: []said{item}})
 }
 
+// AnnounceTaken sends at once that another endpoint has the address of an endpoint.
+func (s *Sharer) AnnounceTaken(endpoint *monitor.Monitor) {
+	s.sendNow(events{taken: []uint64{endpoint.Key}})
+}
+
+// AnnounceRefusing sends at once that nothing listens at the address of an endpoint.
+func (s *Sharer) AnnounceRefusing(endpoint *monitor.Monitor) {
+	s.sendNow(events{refusing: []uint64{endpoint.Key}})
+}
+
 // AnnounceEmptied sends at once that a store has lost all parts.
 func (s *Sharer) AnnounceEmptied(store *monitor.Monitor) {
 	s.sendNow(events{emptyStores: []uint64{store.Key}})
