--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -244,7 +244,8 @@
 }
 
 // reserveRetry reports whether the request is sent to another endpoint after
-// cause, and takes that retry from the budget unless it was taken already.
+// cause, and takes that retry from the budget unless it was taken already or no send has
+// reached the pool.
 func (r *Relayer) reserveRetry(ctx context.Context, e *exchange, cause *refuser.Refusal) bool {
 	if ctx.Err() != nil || e.answer.Err() != nil {
 		return false
@@ -255,7 +256,7 @@
 	if e.sends >= maxSends {
 		return false
 	}
-	if e.sends > 0 && !e.retryReserved && !r.budget(e.request.Pool.Name).TryRetry() {
+	if e.sends > e.misdirected && !e.retryReserved && !r.budget(e.request.Pool.Name).TryRetry() {
 		r.deps.Count.Add("retry", "exhausted")
 		return false
 	}
