--- a/granter/granter.go
+++ b/granter/granter.go
@@ -61,25 +61,28 @@
 // hold there.
 func New(home func(key uint64) (address string, local bool), dial func(address string) (net.Conn, error), engine func(key uint64) (name string, runningTokens int), count *counter.Counter, log *zap.Logger, now func() time.Time) *Granter {
 	return &Granter{
-		home: home, asker: asker.New(service+".Decide", dial), engine: engine, count: count, log: log, now: now,
+		home: home, asker: asker.New(service+".Answer", dial), engine: engine, count: count, log: log, now: now,
 		reservers: map[uint64]reserver.Reserver{}, silentUntil: map[uint64]time.Time{},
 	}
 }
 
 // Take asks for room for a prompt at the engine with a key.
-func (g *Granter) Take(key uint64, request reserver.Request) bool {
-	granted := g.decide(Ask{Key: key, Room: request})
-	if granted {
+func (g *Granter) Take(key uint64, request reserver.Request) reserver.Answer {
+	answer := g.decide(Ask{Key: key, Room: request})
+	switch answer {
+	case reserver.Granted:
 		g.count.Add("room", "granted")
-	} else {
+	case reserver.Crowded:
+		g.count.Add("room", "crowded")
+	default:
 		g.count.Add("room", "refused")
 	}
-	return granted
+	return answer
 }
 
 // decide decides a request at the home, or here by what this instance knows if the home
 // does not answer.
-func (g *Granter) decide(ask Ask) bool {
+func (g *Granter) decide(ask Ask) reserver.Answer {
 	address, local := g.home(ask.Key)
 	if local || ask.Hops >= maxHops {
 		return g.grant(ask)
@@ -87,9 +90,9 @@
 	if !g.silent(ask.Key) {
 		forwarded := ask
 		forwarded.Hops++
-		var granted bool
-		if err := g.asker.Ask(address, forwarded.Hops, forwarded, &granted); err == nil {
-			return granted
+		var answer reserver.Answer
+		if err := g.asker.Ask(address, forwarded.Hops, forwarded, &answer); err == nil {
+			return answer
 		}
 		g.recordSilence(ask.Key)
 	}
@@ -98,16 +101,16 @@
 }
 
 // grant decides a request as the home of the engine.
-func (g *Granter) grant(ask Ask) bool {
+func (g *Granter) grant(ask Ask) reserver.Answer {
 	name, running := g.engine(ask.Key)
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.prune(now)
-	next, granted := g.reservers[ask.Key].Take(ask.Room, running, now)
+	next, answer := g.reservers[ask.Key].Take(ask.Room, running, now)
 	g.reservers[ask.Key] = next
 	g.recordEnded(name, next.Ended(), now)
-	return granted
+	return answer
 }
 
 // recordEnded counts and logs claims that have ended at an engine.
@@ -118,12 +121,12 @@
 		} else {
 			g.count.Add("room", "expired")
 		}
-		dueFor := time.Duration(0)
-		if !claim.DueAt.IsZero() {
-			dueFor = now.Sub(claim.DueAt)
+		firstFor := time.Duration(0)
+		if !claim.FirstAt.IsZero() {
+			firstFor = now.Sub(claim.FirstAt)
 		}
 		g.log.Info("claim ended", zap.String("endpoint", engine), zap.Int("prompt", claim.Tokens), zap.Int("priority", claim.Priority), zap.Bool("granted", claim.Granted),
-			zap.Int64("waited", now.Sub(claim.ClaimedAt).Milliseconds()), zap.Int64("due", dueFor.Milliseconds()), zap.Int("holds", claim.Holds))
+			zap.Int64("waited", now.Sub(claim.ClaimedAt).Milliseconds()), zap.Int64("first", firstFor.Milliseconds()), zap.Bool("stalled", claim.Stalled))
 	}
 }
 
@@ -163,12 +166,12 @@
 // decider is the RPC service of a granter.
 type decider struct{ grant *Granter }
 
-// Decide decides a request of another instance, or forwards it to the home of the engine.
-func (d *decider) Decide(ask Ask, granted *bool) error {
+// Answer decides a request of another instance, or forwards it to the home of the engine.
+func (d *decider) Answer(ask Ask, answer *reserver.Answer) error {
 	if err := ask.Room.Validate(); err != nil {
 		return err
 	}
-	*granted = d.grant.decide(ask)
+	*answer = d.grant.decide(ask)
 	return nil
 }
 
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -57,7 +57,7 @@
 // take asks for room of which the engine has 35,000 tokens.
 func (f *fleet) take(instance int, id uint64) bool {
 	request := reserver.Request{ID: id, Tokens: 17000, LimitTokens: 40000}
-	return f.granters[fmt.Sprint("n", instance)].Take(key, request)
+	return f.granters[fmt.Sprint("n", instance)].Take(key, request) == reserver.Granted
 }
 
 // Guards against instances that each send a prompt to the engine that looks empty to all.
@@ -96,7 +96,7 @@
 		assert.NilError(t, err)
 		return rpc.NewClient(conn)
 	}()
-	var granted bool
-	err := client.Call("Room.Decide", granter.Ask{Key: key, Room: reserver.Request{Tokens: -1}}, &granted)
+	var answer reserver.Answer
+	err := client.Call("Room.Answer", granter.Ask{Key: key, Room: reserver.Request{Tokens: -1}}, &answer)
 	assert.ErrorContains(t, err, "negative")
 }
--- a/granter/silent_home_test.go
+++ b/granter/silent_home_test.go
@@ -39,9 +39,9 @@
 func TestLostHomeOfAnotherEngine(t *testing.T) {
 	g := newReporter(39000)
 	request := reserver.Request{ID: 1, Tokens: 17000, LimitTokens: 40000}
-	assert.Assert(t, !g.Take(1, request), "no room is left")
+	assert.Assert(t, g.Take(1, request) != reserver.Granted, "no room is left")
 	g.Take(2, request)
-	assert.Assert(t, !g.Take(1, request), "granted by a hub that counts as silent")
+	assert.Assert(t, g.Take(1, request) != reserver.Granted, "granted by a hub that counts as silent")
 }
 
 // Guards against sending all prompts that wait at a full engine when its home is lost: they
@@ -51,7 +51,7 @@
 	g := granter.New(func(uint64) (string, bool) { return "home", false }, lost, func(uint64) (string, int) { return "e", 39000 }, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
 	granted := 0
 	for id := range uint64(20) {
-		if g.Take(1, reserver.Request{ID: id + 1, Tokens: 17000, LimitTokens: 40000, Claims: true}) {
+		if g.Take(1, reserver.Request{ID: id + 1, Tokens: 17000, LimitTokens: 40000, Claims: true}) == reserver.Granted {
 			granted++
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -29,17 +29,6 @@
 	// memoryWaitMillis is the wait for KV memory per full engine capacity by
 	// which the preemption threshold is exceeded.
 	memoryWaitMillis = 4000.0
-	// maxRunningShare is the share of an engine's KV memory that running
-	// requests may use before long prompts have to wait. The rest holds cached
-	// prefixes, whose eviction would cause more prefill work. The limit also
-	// bounds the prefill work between two tokens of a stream.
-	maxRunningShare = 0.4
-	// longPromptShare is the share of an engine's KV memory above which a
-	// prompt counts as long.
-	longPromptShare = 0.015
-	// shortRequestsShare is the share of KV memory that other requests may hold beside a
-	// prompt that is larger than maxRunningShare.
-	shortRequestsShare = 0.1
 	// preemptionShare is the share of KV memory above which engines preempt
 	// requests.
 	preemptionShare = 0.85
@@ -130,9 +119,10 @@
 	// Cost is PredictedMillis plus penalties; the candidate with the lowest
 	// cost wins.
 	Cost float64
-	// Full reports that the endpoint has no room for a long prompt now, Held that it must
-	// get no request now.
-	Full, Held bool
+	// Full reports that the endpoint has no room for a long prompt now, Unavailable that
+	// it will have none for a time, whatever runs there, and Held that it must get no
+	// request now.
+	Full, Unavailable, Held bool
 	// LimitTokens is the KV memory that running requests may hold at the endpoint with a
 	// long prompt, 0 for others.
 	LimitTokens int
@@ -230,7 +220,8 @@
 	choice.FetchMillis = fetchMillis
 	choice.Cost = choice.PredictedMillis + penaltyMillis(requirements, view)
 	choice.LimitTokens = limitTokens(requirements, view)
-	choice.Full = choice.LimitTokens > 0 && saturated(requirements, candidate, choice.LimitTokens)
+	choice.Unavailable = choice.LimitTokens > 0 && unavailable(candidate)
+	choice.Full = choice.Unavailable || choice.LimitTokens > 0 && saturated(requirements, candidate, choice.LimitTokens)
 	choice.Claimed = candidate.Claimed
 	return choice
 }
@@ -245,31 +236,6 @@
 	return millis
 }
 
-// saturated reports whether a long prompt has to wait, either for running
-// requests to end or because the engine would refuse it. Engines in backoff or
-// loading weights count as full: they are empty, so they would otherwise be
-// preferred over engines that work.
-func saturated(requirements Requirements, candidate Candidate, limitTokens int) bool {
-	view := candidate.View
-	if view.Loading || view.InBackoff || candidate.Roomless {
-		return true
-	}
-	if view.Load.Requests == 0 || candidate.Claimed {
-		return false
-	}
-	return view.Load.KVTokens+requirements.PromptTokens > limitTokens
-}
-
-// limitTokens returns the KV memory that running requests may hold with a long prompt, 0
-// for other requests. A prompt of any size has room where next to nothing runs.
-func limitTokens(requirements Requirements, view monitor.View) int {
-	capacity := float64(view.Engine.CapacityTokens)
-	if float64(requirements.PromptTokens) < longPromptShare*capacity {
-		return 0
-	}
-	return max(int(maxRunningShare*capacity), requirements.PromptTokens+int(shortRequestsShare*capacity))
-}
-
 // capacityWaitMillis returns the wait for a batch slot and for KV memory.
 func capacityWaitMillis(requirements Requirements, view monitor.View) float64 {
 	waitMillis := slotWaitMillis * float64(max(0, view.Load.Requests+1-view.Engine.Slots))
--- a/relayer/claim_test.go
+++ b/relayer/claim_test.go
@@ -46,11 +46,11 @@
 		state := newEngines(begun)
 		var claimed uint64
 		var lastClaim time.Time
-		take := func(key uint64, request reserver.Request) bool {
+		take := func(key uint64, request reserver.Request) reserver.Answer {
 			if request.Claims {
 				claimed, lastClaim = key, time.Now()
 			}
-			return false
+			return reserver.Refused
 		}
 		r := relayer.New(relayer.Dependencies{Registrar: state, Detector: detector.New(), TakeRoom: take, Count: counter.New(metrics.NewRegistry()), Now: time.Now})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -84,7 +84,7 @@
 			endpoint.Hear(func(said restrainer.Restrainer) restrainer.Restrainer { return said.WithLimit(5, begun) })
 		}
 		granted := 0
-		take := func(uint64, reserver.Request) bool { granted++; return true }
+		take := func(uint64, reserver.Request) reserver.Answer { granted++; return reserver.Granted }
 		refuse := func(uint64, float64) (bool, time.Time) { return false, time.Now().Add(100 * time.Millisecond) }
 		r := relayer.New(relayer.Dependencies{Registrar: state, Detector: detector.New(), TakeRoom: take, TakePermit: refuse, Count: counter.New(metrics.NewRegistry()), Now: time.Now})
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -104,10 +104,10 @@
 			endpoint.End(monitor.Load{Requests: 3, KVTokens: 39000})
 		}
 		var r *relayer.Relayer
-		stop := func(uint64, reserver.Request) bool {
+		stop := func(uint64, reserver.Request) reserver.Answer {
 			time.Sleep(50 * time.Millisecond)
 			r.Drain(drainer.New(time.Now(), 2*time.Second, time.Second))
-			return true
+			return reserver.Granted
 		}
 		r = relayer.New(relayer.Dependencies{Registrar: state, Detector: detector.New(), TakeRoom: stop, Count: counter.New(metrics.NewRegistry()), Now: time.Now})
 		request := prompt(begun)
@@ -126,10 +126,10 @@
 		state := newEngines(begun)
 		var last time.Time
 		renewals, late := 0, 0
-		take := func(_ uint64, request reserver.Request) bool {
+		take := func(_ uint64, request reserver.Request) reserver.Answer {
 			if !request.Claims {
 				time.Sleep(answerTime)
-				return false
+				return reserver.Refused
 			}
 			if !last.IsZero() && time.Since(last) >= claimLife {
 				late++
@@ -140,7 +140,7 @@
 					endpoint.End(monitor.Load{KVTokens: 39000})
 				}
 			}
-			return false
+			return reserver.Refused
 		}
 		r := relayer.New(relayer.Dependencies{Registrar: state, Detector: detector.New(), TakeRoom: take, Count: counter.New(metrics.NewRegistry()), Now: time.Now})
 		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
@@ -149,3 +149,39 @@
 		assert.Assert(t, late == 0, "%d of %d claims had expired when they were renewed", late, renewals)
 	})
 }
+
+// Guards against a prompt that waits for half of its time behind others, when it can be told
+// at once that it would wait too long.
+func TestCrowdedPromptIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		asked := map[uint64]bool{}
+		take := func(key uint64, request reserver.Request) reserver.Answer {
+			assert.Equal(t, request.QueueMillis, 300)
+			asked[key] = request.Claims
+			return reserver.Crowded
+		}
+		r := relayer.New(relayer.Dependencies{Registrar: newEngines(begun), Detector: detector.New(), TakeRoom: take, Count: counter.New(metrics.NewRegistry()), Now: time.Now})
+		request := prompt(begun)
+		request.Route.TargetMillis = 600
+		refusal := r.WaitForRoom(t.Context(), request)
+		assert.Assert(t, refusal != nil && refusal.Code == refuser.Overloaded && refusal.RetryAt.After(begun), "refused with %v", refusal)
+		assert.Assert(t, time.Since(begun) < 10*time.Millisecond, "refused after %s", time.Since(begun))
+		assert.DeepEqual(t, len(asked), 2)
+	})
+}
+
+// Guards against a prompt that is sent so late that its caller leaves before an engine has
+// read it.
+func TestPromptIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		take := func(uint64, reserver.Request) reserver.Answer { return reserver.Refused }
+		r := relayer.New(relayer.Dependencies{Registrar: newEngines(begun), Detector: detector.New(), TakeRoom: take, Count: counter.New(metrics.NewRegistry()), Now: time.Now})
+		request := prompt(begun)
+		request.PromptTokens, request.Route.PatienceMillis = 60000, 3200
+		refusal := r.WaitForRoom(t.Context(), request)
+		assert.Assert(t, refusal != nil && refusal.Code == refuser.Overloaded, "refused with %v", refusal)
+		assert.Assert(t, time.Since(begun) < 2200*time.Millisecond, "refused after %s, an idle engine takes over 1 s", time.Since(begun))
+	})
+}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -28,6 +28,8 @@
 	choice      placer.Choice
 	// roomless are the endpoints that had no room when asked for it lately.
 	roomless []*monitor.Monitor
+	// crowded are the engines where it may not wait.
+	crowded []*monitor.Monitor
 	// claimed is the engine at which the request waits for its turn, roomID identifies it
 	// there. sampling means that the engine is being chosen.
 	claimed  *monitor.Monitor
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -18,11 +19,11 @@
 )
 
 // waitForRoom chooses an endpoint and waits while none has room or may get requests.
-// After half of its remaining time the request is refused, so that its caller has time to
-// retry, and at once if it would wait longer.
+// The request is refused when its time to wait is over, and at once if it would wait longer
+// or too many wait before it.
 func (r *Relayer) waitForRoom(ctx context.Context, e *exchange) *refuser.Refusal {
 	startedAt := r.deps.Now()
-	giveUpAt := startedAt.Add(e.deadline.Sub(startedAt) / 2)
+	giveUpAt := giveUpAt(e, startedAt)
 	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
 	held := r.queue(e.request.Pool.Name)
 	defer held.Leave(ticket)
@@ -33,7 +34,10 @@
 			held.Join(ticket)
 		} else {
 			held.Leave(ticket)
-			r.keepClaim(e)
+			if refusal := r.keepClaim(e); refusal != nil || !e.mustWait() {
+				e.waited = r.deps.Now().Sub(startedAt)
+				return cmp.Or(refusal, r.admit(e))
+			}
 			interval = roomCheckInterval
 		}
 		if refusal := r.refuseHeld(e, held.Ahead(ticket, r.deps.Now()), giveUpAt); refusal != nil {
@@ -198,7 +202,7 @@
 		view.Held = view.Held || behind && view.Limited
 		cached, ready := cachedTokens(endpoint, request, view.Weights)
 		candidates[i] = placer.Candidate{
-			View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint) || e.sampling && rand.IntN(len(monitors)) >= claimSample,
+			View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint) || e.sampling && e.skips(endpoint, len(monitors)),
 			Claimed: endpoint == e.claimed, Roomless: slices.Contains(e.roomless, endpoint),
 		}
 		if ready > 0 && !view.InBackoff && !view.Loading && !view.Left {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,8 +36,10 @@
 	// maxPermitAsks limits for how many endpoints a request asks for a permit before it
 	// waits.
 	maxPermitAsks = 4
-	// claimSample is the mean number of engines of which a request that waits chooses one.
+	// claimSample is the mean number of engines of which a request that waits chooses one,
+	// maxClaims at how many it asks to wait before it is refused.
 	claimSample = 3
+	maxClaims   = 2
 	// maxRoomAsks limits at how many engines a request asks for room before it waits.
 	maxRoomAsks = 2
 	// answerMargin is reserved for sending the answer to the caller.
@@ -125,7 +127,7 @@
 	// is not under way any more, at until at the latest.
 	TakeTurn func(scope uint64, parts []detector.Probation, until time.Time) (end func(), granted bool)
 	// TakeRoom asks for room for a prompt at the engine with a key.
-	TakeRoom func(key uint64, request reserver.Request) bool
+	TakeRoom func(key uint64, request reserver.Request) reserver.Answer
 	// LastUseMillis is how long an endpoint may still get requests after it has said
 	// that it leaves.
 	LastUseMillis int
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -2,23 +2,26 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"wisteriadrum/judge"
+	"wisteriadrum/monitor"
+	"wisteriadrum/placer"
+	"wisteriadrum/refuser"
 	"wisteriadrum/reserver"
 )
 
+// queuePart is the part of the latency target after which a prompt that waits keeps others
+// from waiting behind it: they would hardly meet theirs, and their callers may return when
+// fewer wait.
+const queuePart = 2
+
 // takeRoom asks for room at the chosen engine. Without, the request goes elsewhere.
 func (r *Relayer) takeRoom(e *exchange) bool {
-	if e.roomID == 0 {
-		e.roomID = rand.Uint64() | 1
-	}
-	request := reserver.Request{
-		ID: e.roomID, Tokens: e.request.PromptTokens, LimitTokens: e.choice.LimitTokens,
-		Priority: e.request.Priority(), Claims: e.endpoint == e.claimed,
-	}
-	e.claimAsked = e.claimAsked || request.Claims
-	e.roomAsks++
-	if r.deps.TakeRoom(e.endpoint.Key, request) {
+	claims := e.endpoint == e.claimed
+	e.claimAsked = e.claimAsked || claims
+	if r.askRoom(e, claims) == reserver.Granted {
 		return true
 	}
 	e.roomless = append(e.roomless, e.endpoint)
@@ -26,23 +29,86 @@
 	return false
 }
 
-// keepClaim chooses an engine to wait at unless the last choice led to the one that the
-// request waits at.
-func (r *Relayer) keepClaim(e *exchange) {
-	if !e.claimAsked {
-		r.claim(e, r.deps.Now())
+// askRoom asks for room at the chosen engine, and to wait there if it claims.
+func (r *Relayer) askRoom(e *exchange, claims bool) reserver.Answer {
+	if e.roomID == 0 {
+		e.roomID = rand.Uint64() | 1
 	}
+	e.roomAsks++
+	return r.deps.TakeRoom(e.endpoint.Key, reserver.Request{
+		ID: e.roomID, Tokens: e.request.PromptTokens, LimitTokens: e.choice.LimitTokens, Priority: e.request.Priority(), Claims: claims,
+		WaitedMillis: int(r.deps.Now().Sub(e.request.ReceivedAt).Milliseconds()), QueueMillis: e.request.Route.TargetMillis / queuePart,
+	})
 }
 
-// claim chooses the engine at which the request waits for its turn: the best of a few, so
-// that those who wait spread over the engines.
-func (r *Relayer) claim(e *exchange, now time.Time) {
+// keepClaim lets the request wait at an engine unless the last choice led to the one at
+// which it waits. It refuses the request if too many wait before it.
+func (r *Relayer) keepClaim(e *exchange) *refuser.Refusal {
+	if e.claimAsked {
+		return nil
+	}
 	choice, endpoint, source := e.choice, e.endpoint, e.source
+	e.crowded = nil
+	for range maxClaims {
+		answer := r.claim(e)
+		if answer == reserver.Granted {
+			return nil
+		}
+		e.choice, e.endpoint, e.source = choice, endpoint, source
+		if answer == reserver.Refused {
+			return nil
+		}
+	}
+	return refuser.New(refuser.Overloaded, judge.NotRun, "too many prompts wait at %d endpoints", maxClaims).WithRetryAt(r.retryAt(e.request.Pool.Name, r.deps.Now()))
+}
+
+// claim chooses the engine at which the request waits for its turn, the best of a few, so
+// that those who wait spread over the engines, and asks for room there.
+func (r *Relayer) claim(e *exchange) reserver.Answer {
 	e.claimed, e.sampling = nil, true
-	if r.choose(e, false, now) == nil {
+	refusal := r.choose(e, false, r.deps.Now())
+	e.sampling = false
+	if refusal != nil && len(e.crowded) > 0 {
+		return reserver.Crowded // no other engine was found
+	}
+	if refusal != nil {
+		return reserver.Refused
+	}
+	if _, limited := e.endpoint.Said().Limit(); limited || e.choice.Held || e.choice.Unavailable {
+		e.claimed = e.endpoint // asked when it may get the request
+		return reserver.Refused
+	}
+	answer := r.askRoom(e, true)
+	switch answer {
+	case reserver.Granted:
+		e.choice.Full = false
+	case reserver.Refused:
 		e.claimed = e.endpoint
 		e.claims++
+	case reserver.Crowded:
+		e.crowded = append(e.crowded, e.endpoint)
 	}
-	e.sampling = false
-	e.choice, e.endpoint, e.source = choice, endpoint, source
+	return answer
+}
+
+// skips reports whether an engine, one of so many, is left out of the few of which the
+// request chooses one to wait at.
+func (e *exchange) skips(endpoint *monitor.Monitor, engines int) bool {
+	return slices.Contains(e.crowded, endpoint) || rand.IntN(engines) >= claimSample
+}
+
+// giveUpAt returns until when a request that came to wait at now waits for room: for half of
+// its time at most, so that its caller has time to retry, and only while an engine could
+// still begin to answer before the caller leaves.
+func giveUpAt(e *exchange, now time.Time) time.Time {
+	giveUpAt := now.Add(e.deadline.Sub(now) / 2)
+	leavesAt, known := e.request.Route.PatienceDeadline(e.request.ReceivedAt)
+	if !known || e.answer.Begun() {
+		return giveUpAt
+	}
+	startBy := leavesAt.Add(-time.Duration(placer.IdleMillis(e.request.PromptTokens)) * time.Millisecond)
+	if startBy.Before(giveUpAt) {
+		return startBy
+	}
+	return giveUpAt
 }
--- a/reserver/blocked_test.go
+++ b/reserver/blocked_test.go
@@ -20,11 +20,11 @@
 	granted := 0
 	for n := range 100 {
 		now = now.Add(100 * time.Millisecond)
-		var ok bool
-		if engine, ok = engine.Take(huge, shortTokens, now); ok {
+		var answer reserver.Answer
+		if engine, answer = engine.Take(huge, shortTokens, now); answer == reserver.Granted {
 			return
 		}
-		if engine, ok = engine.Take(reserver.Request{ID: uint64(n) + 2, Tokens: 10000, LimitTokens: 40000}, shortTokens, now); ok {
+		if engine, answer = engine.Take(reserver.Request{ID: uint64(n) + 2, Tokens: 10000, LimitTokens: 40000}, shortTokens, now); answer == reserver.Granted {
 			granted = n
 		}
 	}
--- a/reserver/overload_test.go
+++ b/reserver/overload_test.go
@@ -21,6 +21,8 @@
 	viewAge = 100 * time.Millisecond
 	// patience is how long callers wait for the first event, and timeLimit for all of it.
 	patience, timeLimit = 3200 * time.Millisecond, 6 * time.Second
+	queueMillis         = 300
+	maxClaims           = 2
 )
 
 // waiter is a prompt of a caller, on its way to an engine or there.
@@ -58,14 +60,14 @@
 	return &waiter{tokens: tokens, arrivedAt: o.now, leavesAt: o.now.Add(patience), endsAt: o.now.Add(timeLimit), ask: o.now, claimed: -1, prefillMillis: prefillMillis(tokens)}
 }
 
-// run plays 15 s of arrivals with load times the prefill that the engines can do.
+// run plays 60 s of arrivals with load times the prefill that the engines can do.
 func (o *overload) run(load float64) {
 	start, millis := o.now, 0.0
 	for range 10000 {
 		millis += o.newWaiter().prefillMillis / 10000
 	}
 	perTick := load * overloadedEngines * float64(tick.Milliseconds()) / millis
-	for o.now.Before(start.Add(15 * time.Second)) {
+	for o.now.Before(start.Add(time.Minute)) {
 		o.prefill()
 		for arriving := perTick; arriving > o.random.Float64(); arriving-- {
 			w := o.newWaiter()
@@ -98,12 +100,11 @@
 	if w.id == 0 {
 		w.id = o.random.Uint64()
 	}
-	giveUpAt := w.arrivedAt.Add(w.endsAt.Sub(w.arrivedAt) / 2)
-	if o.now.After(giveUpAt) {
+	if o.now.After(w.giveUpAt()) {
 		return o.refused(w)
 	}
 	asked := w.claimed
-	if asked >= 0 && o.take(w, asked, true) {
+	if asked >= 0 && o.take(w, asked, true) == reserver.Granted {
 		return true
 	}
 	emptiest := 0
@@ -112,16 +113,35 @@
 			emptiest = e
 		}
 	}
-	if o.seen(emptiest)+w.tokens <= limitOf(w.tokens) && o.take(w, emptiest, false) {
+	if o.seen(emptiest)+w.tokens <= limitOf(w.tokens) && o.take(w, emptiest, false) == reserver.Granted {
 		return true
 	}
-	if w.claimed < 0 {
-		w.claimed = o.random.Intn(overloadedEngines)
+	for tries := 0; w.claimed < 0; tries++ {
+		if tries == maxClaims {
+			return o.refused(w)
+		}
+		e := o.random.Intn(overloadedEngines)
+		switch o.take(w, e, true) {
+		case reserver.Granted:
+			return true
+		case reserver.Refused:
+			w.claimed = e
+		}
 	}
 	w.ask = o.now.Add(time.Duration(45+o.random.Intn(30)) * time.Millisecond)
 	return false
 }
 
+// giveUpAt returns until when a prompt waits.
+func (w *waiter) giveUpAt() time.Time {
+	half := w.arrivedAt.Add(w.endsAt.Sub(w.arrivedAt) / 2)
+	startBy := w.leavesAt.Add(-time.Duration(w.tokens) * time.Millisecond / 50)
+	if startBy.Before(half) {
+		return startBy
+	}
+	return half
+}
+
 // refused lets a caller return once after a second.
 func (o *overload) refused(w *waiter) bool {
 	if w.returned {
@@ -133,15 +153,17 @@
 	return false
 }
 
-func limitOf(tokens int) int { return max(capacityTokens*2/5, tokens+capacityTokens/10) }
+func limitOf(tokens int) int { return max(capacityTokens*2/5, tokens+capacityTokens/5) }
 
-func (o *overload) take(w *waiter, e int, claims bool) bool {
-	var granted bool
-	o.reservers[e], granted = o.reservers[e].Take(reserver.Request{ID: w.id, Tokens: w.tokens, LimitTokens: limitOf(w.tokens), Claims: claims}, o.seen(e), o.now)
-	if granted {
+func (o *overload) take(w *waiter, e int, claims bool) reserver.Answer {
+	var answer reserver.Answer
+	o.reservers[e], answer = o.reservers[e].Take(reserver.Request{
+		ID: w.id, Tokens: w.tokens, LimitTokens: limitOf(w.tokens), Claims: claims, WaitedMillis: int(o.now.Sub(w.arrivedAt).Milliseconds()), QueueMillis: queueMillis,
+	}, o.seen(e), o.now)
+	if answer == reserver.Granted {
 		o.running[e] = append(o.running[e], w)
 	}
-	return granted
+	return answer
 }
 
 // Guards against overload of which the largest prompts bear more than their share.
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -1,10 +1,9 @@
 // Package reserver decides which prompts get room at one engine. The instance that decides
-// for an engine grants room for prompts whose load the others do not tell yet, and keeps
-// the turn of prompts that wait.
+// for an engine grants room for prompts whose load the others do not tell yet, and saves
+// room for those that wait, in the order in which they came.
 package reserver
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -17,9 +16,25 @@
 	settleTime = 150 * time.Millisecond
 	// claimLife is how long a claim lasts that is not renewed.
 	claimLife = 300 * time.Millisecond
-	// maxHold is how long a prompt that is due holds others back. One that finds no room
-	// meanwhile, beside short requests, is overtaken again.
+	// maxHold is how long room is saved for the first prompt in the queue: longer than the
+	// prompts that run take to end. One that finds no room meanwhile, beside short
+	// requests, would find none later.
 	maxHold = time.Second
+	// maxMillis bounds the times in a request: a day.
+	maxMillis = 24 * 60 * 60 * 1000
+)
+
+// Answer is the answer to a request for room.
+type Answer int
+
+const (
+	// Refused means that there is no room now. The prompt waits if it claims.
+	Refused Answer = iota
+	// Granted means that the prompt may be sent.
+	Granted
+	// Crowded means that the prompt does not wait here either: those before it have
+	// waited too long.
+	Crowded
 )
 
 // Request asks for room for a prompt.
@@ -33,17 +48,25 @@
 	Priority int
 	// Claims means that the prompt waits at this engine if it gets no room now.
 	Claims bool
+	// WaitedMillis is how long ago the prompt came.
+	WaitedMillis int
+	// QueueMillis is how long the prompts before this one may have waited if it is to wait
+	// behind them, 0 for any time.
+	QueueMillis int
 }
 
 // Validate returns an error if a number is out of range.
 func (r Request) Validate() error {
-	if r.Tokens < 0 || r.LimitTokens < 0 || r.Priority < 0 {
-		return eris.Errorf("request for room has a negative number: %d tokens, limit %d, priority %d", r.Tokens, r.LimitTokens, r.Priority)
+	if r.Tokens < 0 || r.LimitTokens < 0 || r.Priority < 0 || r.WaitedMillis < 0 || r.QueueMillis < 0 {
+		return eris.Errorf("request for room has a negative number: %d tokens, limit %d, priority %d, waited %d ms, queue %d ms", r.Tokens, r.LimitTokens, r.Priority, r.WaitedMillis, r.QueueMillis)
+	}
+	if r.WaitedMillis > maxMillis || r.QueueMillis > maxMillis {
+		return eris.Errorf("request for room has a time above a day: waited %d ms, queue %d ms", r.WaitedMillis, r.QueueMillis)
 	}
 	return nil
 }
 
-// Reserver holds the granted room and the claims of one engine. It is immutable.
+// Reserver holds the granted room and the queue of one engine. It is immutable.
 type Reserver struct {
 	grants []grant
 	// claims are in the order of their turns, ended those that ended in the last call.
@@ -51,94 +74,34 @@
 	ended  []End
 }
 
-// End describes a claim that has ended.
-type End struct {
-	Tokens, Priority int
-	// ClaimedAt is when the prompt began to wait, DueAt when it was due first, zero if it
-	// never was. Holds is how often it held others back.
-	ClaimedAt, DueAt time.Time
-	Holds            int
-	// Granted reports that the prompt got room; otherwise its claim was not renewed.
-	Granted bool
-}
-
 // grant is room for one prompt, until settledAt.
 type grant struct {
 	tokens    int
 	settledAt time.Time
 }
 
-// claim is the turn of a prompt that waits.
-type claim struct {
-	id        uint64
-	tokens    int
-	priority  int
-	claimedAt time.Time
-	expiresAt time.Time
-	// overtakenTokens is the size of the later prompts that got room since.
-	overtakenTokens int
-	// heldUntil is until when it holds others back once it is due.
-	heldUntil time.Time
-	dueAt     time.Time
-	holds     int
-}
-
-// end returns the description of the claim after its end.
-func (c claim) end(granted bool) End {
-	return End{Tokens: c.tokens, Priority: c.priority, ClaimedAt: c.claimedAt, DueAt: c.dueAt, Holds: c.holds, Granted: granted}
-}
-
-// due reports whether the prompt may not be overtaken any more: after later ones of its
-// own size.
-func (c claim) due() bool { return c.overtakenTokens >= c.tokens }
-
-// overtake counts a prompt that got room before the one that waits.
-func (c *claim) overtake(tokens int, now time.Time) {
-	wasDue := c.due()
-	c.overtakenTokens += tokens
-	if c.due() && !wasDue {
-		c.heldUntil = now.Add(maxHold)
-		c.holds++
-		if c.dueAt.IsZero() {
-			c.dueAt = now
-		}
-	}
-}
-
 // Take asks for room at an engine whose running requests hold usedTokens, as far as the
-// instance knows, and returns whether there is room now.
-func (r Reserver) Take(request Request, usedTokens int, now time.Time) (Reserver, bool) {
+// instance knows.
+func (r Reserver) Take(request Request, usedTokens int, now time.Time) (Reserver, Answer) {
 	next := r.withoutExpired(now)
 	for _, granted := range next.grants {
 		usedTokens += granted.tokens
 	}
-	if !next.hasRoom(request, usedTokens) {
-		if request.Claims {
-			next.claim(request, now)
-		}
-		return next, false
+	asked := newClaim(request, now)
+	if usedTokens+next.savedTokens(asked)+request.Tokens <= request.LimitTokens {
+		next.end(true, func(c claim) bool { return c.id == request.ID })
+		next.grants = append(next.grants, grant{tokens: request.Tokens, settledAt: now.Add(settleTime)})
+		return next, Granted
 	}
-	next.end(true, func(c claim) bool { return c.id == request.ID })
-	for i := range next.claims {
-		next.claims[i].overtake(request.Tokens, now)
+	if request.Claims && !next.join(asked, time.Duration(request.QueueMillis)*time.Millisecond, now) {
+		return next, Crowded
 	}
-	next.grants = append(next.grants, grant{tokens: request.Tokens, settledAt: now.Add(settleTime)})
-	return next, true
+	return next, Refused
 }
 
 // Ended returns the claims that ended in the last call of Take.
 func (r Reserver) Ended() []End { return r.ended }
 
-// end removes the claims of which has is true.
-func (r *Reserver) end(granted bool, has func(claim) bool) {
-	for _, waiting := range r.claims {
-		if has(waiting) {
-			r.ended = append(r.ended, waiting.end(granted))
-		}
-	}
-	r.claims = slices.DeleteFunc(r.claims, has)
-}
-
 // SettledAt returns when nothing is kept any more.
 func (r Reserver) SettledAt() time.Time {
 	var last time.Time
@@ -151,31 +114,41 @@
 	return last
 }
 
-// hasRoom reports whether the request has room, besides the prompts that are due before it.
-func (r Reserver) hasRoom(request Request, usedTokens int) bool {
+// savedTokens returns the size of the prompts that go before the one asked for.
+func (r Reserver) savedTokens(asked claim) int {
 	for _, waiting := range r.claims {
-		if waiting.id == request.ID {
-			break
+		if waiting.id == asked.id {
+			asked = waiting
 		}
-		if waiting.due() && waiting.priority <= request.Priority {
-			usedTokens += waiting.tokens
+	}
+	tokens := 0
+	for _, waiting := range r.claims {
+		if !waiting.stalled && waiting.before(asked) {
+			tokens += waiting.tokens
 		}
 	}
-	return usedTokens+request.Tokens <= request.LimitTokens
+	return tokens
 }
 
-// claim adds the claim of a request, or renews it.
-func (r *Reserver) claim(request Request, now time.Time) {
-	expiresAt := now.Add(claimLife)
+// join adds a claim to the queue, or renews it. It returns false if a new one would have
+// to wait behind others that have waited for more than bound, if that is not 0.
+func (r *Reserver) join(asked claim, bound time.Duration, now time.Time) bool {
 	for i := range r.claims {
-		if r.claims[i].id == request.ID {
-			r.claims[i].expiresAt = expiresAt
-			return
+		if r.claims[i].id == asked.id {
+			r.claims[i].expiresAt = asked.expiresAt
+			return true
+		}
+	}
+	at := 0
+	for at < len(r.claims) && !asked.before(r.claims[at]) {
+		ahead := r.claims[at]
+		if bound > 0 && !ahead.stalled && now.Sub(ahead.arrivedAt) > bound {
+			return false
 		}
+		at++
 	}
-	added := claim{id: request.ID, tokens: request.Tokens, priority: request.Priority, claimedAt: now, expiresAt: expiresAt}
-	at, _ := slices.BinarySearchFunc(r.claims, added.priority+1, func(c claim, priority int) int { return cmp.Compare(c.priority, priority) })
-	r.claims = slices.Insert(r.claims, at, added)
+	r.claims = slices.Insert(r.claims, at, asked)
+	return true
 }
 
 // withoutExpired returns a copy without what has expired at now.
@@ -186,13 +159,31 @@
 	}
 	next.end(false, func(c claim) bool { return !now.Before(c.expiresAt) })
 	for i := range next.claims {
-		if waiting := &next.claims[i]; waiting.due() && !now.Before(waiting.heldUntil) {
-			waiting.overtakenTokens = 0
+		first := &next.claims[i]
+		if first.stalled {
+			continue
+		}
+		if first.firstAt.IsZero() {
+			first.firstAt = now
+		}
+		first.stalled = !now.Before(first.firstAt.Add(maxHold))
+		if !first.stalled {
+			break
 		}
 	}
 	return next
 }
 
+// end removes the claims of which has is true.
+func (r *Reserver) end(granted bool, has func(claim) bool) {
+	for _, waiting := range r.claims {
+		if has(waiting) {
+			r.ended = append(r.ended, waiting.end(granted))
+		}
+	}
+	r.claims = slices.DeleteFunc(r.claims, has)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -23,9 +23,13 @@
 
 // take asks for room, and lets the prompt run as soon as the others know of it.
 func (e *engine) take(id uint64, tokens, priority int) bool {
-	var granted bool
-	e.reserver, granted = e.reserver.Take(reserver.Request{ID: id, Tokens: tokens, LimitTokens: limitTokens, Priority: priority, Claims: true}, e.running, e.now)
-	return granted
+	return e.ask(reserver.Request{ID: id, Tokens: tokens, LimitTokens: limitTokens, Priority: priority, Claims: true}) == reserver.Granted
+}
+
+func (e *engine) ask(request reserver.Request) reserver.Answer {
+	var answer reserver.Answer
+	e.reserver, answer = e.reserver.Take(request, e.running, e.now)
+	return answer
 }
 
 // Guards against prompts of many instances that are sent to the same engine, which each of
@@ -61,36 +65,63 @@
 	}
 }
 
+// Guards against room that is given away while a prompt waits for it that came before.
 func TestTurns(t *testing.T) {
+	small := reserver.Request{ID: 2, Tokens: 5000, LimitTokens: limitTokens, Priority: 1}
 	for name, test := range map[string]struct {
-		then     func(e *engine)
-		priority int
-		granted  bool
+		then    func(e *engine, small *reserver.Request)
+		granted bool
 	}{
-		"later one":          {func(*engine) {}, 1, false},
-		"more urgent one":    {func(*engine) {}, 0, true},
-		"claim not renewed":  {func(e *engine) { e.now = e.now.Add(time.Second) }, 1, true},
-		"both fit":           {func(e *engine) { e.running = 0 }, 1, true},
-		"the turn has come":  {func(e *engine) { e.running = 0; e.take(1, 35000, 1) }, 1, true},
-		"the turn took room": {func(e *engine) { e.running = 0; e.take(1, 35000, 1); e.running = 5000 }, 1, false},
+		"later one":         {func(*engine, *reserver.Request) {}, false},
+		"more urgent one":   {func(_ *engine, small *reserver.Request) { small.Priority = 0 }, true},
+		"earlier one":       {func(_ *engine, small *reserver.Request) { small.WaitedMillis = 2000 }, true},
+		"claim not renewed": {func(e *engine, _ *reserver.Request) { e.now = e.now.Add(time.Second) }, true},
+		"claim renewed": {func(e *engine, _ *reserver.Request) {
+			for range 4 {
+				e.now = e.now.Add(200 * time.Millisecond)
+				e.take(1, 35000, 1)
+			}
+		}, false},
+		"both fit":           {func(e *engine, _ *reserver.Request) { e.running = 0 }, true},
+		"the turn has come":  {func(e *engine, _ *reserver.Request) { e.running = 0; e.take(1, 35000, 1) }, true},
+		"the turn took room": {func(e *engine, _ *reserver.Request) { e.running = 0; e.take(1, 35000, 1); e.running = 5000 }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := &engine{now: start, running: 10000}
 			assert.Assert(t, !e.take(1, 35000, 1))
-			for id := range uint64(7) {
-				assert.Assert(t, e.take(100+id, 5000, 1), "overtaken by less than its size")
-				e.now = e.now.Add(160 * time.Millisecond)
-				assert.Assert(t, !e.take(1, 35000, 1))
-			}
-			test.then(e)
-			assert.Equal(t, e.take(2, 5000, test.priority), test.granted)
+			e.now = e.now.Add(100 * time.Millisecond)
+			later := small
+			test.then(e, &later)
+			assert.Equal(t, e.ask(later) == reserver.Granted, test.granted)
 		})
 	}
 }
 
+// Guards against a queue in which all wait until it is too late.
+func TestQueueIsBounded(t *testing.T) {
+	e := &engine{now: start, running: 30000}
+	bounded := func(id uint64, waitedMillis int) reserver.Answer {
+		return e.ask(reserver.Request{ID: id, Tokens: 20000, LimitTokens: limitTokens, Claims: true, WaitedMillis: waitedMillis, QueueMillis: 300})
+	}
+	assert.Equal(t, bounded(1, 0), reserver.Refused)
+	e.now = e.now.Add(200 * time.Millisecond)
+	assert.Equal(t, bounded(1, 200), reserver.Refused)
+	assert.Equal(t, bounded(2, 0), reserver.Refused)
+	e.now = e.now.Add(200 * time.Millisecond)
+	assert.Equal(t, bounded(3, 0), reserver.Crowded)
+	assert.Equal(t, bounded(2, 200), reserver.Refused, "keeps its place")
+	assert.Equal(t, bounded(4, 500), reserver.Refused, "came before all others")
+	e.running = 0
+	assert.Equal(t, bounded(3, 0), reserver.Crowded, "the others go before")
+	assert.Equal(t, bounded(1, 400), reserver.Granted)
+}
+
 func TestValidate(t *testing.T) {
 	assert.NilError(t, reserver.Request{Tokens: 1}.Validate())
-	for _, bad := range []reserver.Request{{Tokens: -1}, {LimitTokens: -1}, {Priority: -1}} {
+	for _, bad := range []reserver.Request{{Tokens: -1}, {LimitTokens: -1}, {Priority: -1}, {WaitedMillis: -1}, {QueueMillis: -1}} {
 		assert.ErrorContains(t, bad.Validate(), "negative")
 	}
+	for _, bad := range []reserver.Request{{WaitedMillis: 1 << 40}, {QueueMillis: 1 << 40}} {
+		assert.ErrorContains(t, bad.Validate(), "above a day")
+	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,9 @@
 	TimeoutMillis int
 	// TargetMillis is the latency target for the beginning of an answer.
 	TargetMillis int
+	// PatienceMillis is how long callers wait for the beginning of a stream before they
+	// leave, 0 if unknown.
+	PatienceMillis int
 	// Priority is the rank of the route's requests, 0 the most urgent.
 	Priority int
 	// Attempts is the maximum number of endpoints on which one request may run.
@@ -169,6 +172,12 @@
 	return receivedAt.Add(time.Duration(r.TargetMillis) * time.Millisecond)
 }
 
+// PatienceDeadline returns when the caller of a request received at receivedAt leaves if
+// its stream has not begun, and false if that is unknown.
+func (r Route) PatienceDeadline(receivedAt time.Time) (time.Time, bool) {
+	return receivedAt.Add(time.Duration(r.PatienceMillis) * time.Millisecond), r.PatienceMillis > 0
+}
+
 // HeaderDeadline returns when the head of a request must be complete if its
 // first byte was received at firstByteAt.
 func (l Limits) HeaderDeadline(firstByteAt time.Time) time.Time {
