--- a/granter/granter.go
+++ b/granter/granter.go
@@ -80,6 +80,11 @@
 	return answer
 }
 
+// EndClaim ends the wait of a prompt at the engine with a key.
+func (g *Granter) EndClaim(key, id uint64) {
+	g.decide(Ask{Key: key, Room: reserver.Request{ID: id, Ends: true}})
+}
+
 // decide decides a request at the home, or here by what this instance knows if the home
 // does not answer.
 func (g *Granter) decide(ask Ask) reserver.Answer {
--- a/placer/room.go
+++ b/placer/room.go
@@ -13,7 +13,7 @@
 	longPromptShare = 0.015
 	// besideShare is the share of KV memory that other requests may hold beside a prompt
 	// that is too large for maxRunningShare with them.
-	besideShare = 0.2
+	besideShare = 0.25
 )
 
 // IdleMillis returns the predicted time in milliseconds in which an idle engine begins to
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -28,13 +28,13 @@
 	choice      placer.Choice
 	// roomless are the endpoints that had no room when asked for it lately.
 	roomless []*monitor.Monitor
-	// crowded are the engines where it may not wait.
-	crowded []*monitor.Monitor
 	// claimed is the engine at which the request waits for its turn, roomID identifies it
 	// there. sampling means that the engine is being chosen.
 	claimed  *monitor.Monitor
 	roomID   uint64
 	sampling bool
+	// queued means that room is saved for the request at the claimed engine.
+	queued bool
 	// claimAsked reports that the last choice led to the claimed engine.
 	claimAsked bool
 	// roomAsks is how often it asked for room, claims at how many engines it waited.
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -27,6 +27,7 @@
 	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
 	held := r.queue(e.request.Pool.Name)
 	defer held.Leave(ticket)
+	defer r.endClaim(e)
 	refusal := r.place(ctx, e, held.Ahead(ticket, startedAt) > 0)
 	for refusal == nil && e.mustWait() {
 		interval := heldCheckInterval
@@ -202,7 +203,7 @@
 		view.Held = view.Held || behind && view.Limited
 		cached, ready := cachedTokens(endpoint, request, view.Weights)
 		candidates[i] = placer.Candidate{
-			View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint) || e.sampling && e.skips(endpoint, len(monitors)),
+			View: view, CachedTokens: cached, Excluded: e.hasTried(endpoint) || e.sampling && rand.IntN(len(monitors)) >= claimSample,
 			Claimed: endpoint == e.claimed, Roomless: slices.Contains(e.roomless, endpoint),
 		}
 		if ready > 0 && !view.InBackoff && !view.Loading && !view.Left {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,10 +36,8 @@
 	// maxPermitAsks limits for how many endpoints a request asks for a permit before it
 	// waits.
 	maxPermitAsks = 4
-	// claimSample is the mean number of engines of which a request that waits chooses one,
-	// maxClaims at how many it asks to wait before it is refused.
+	// claimSample is the mean number of engines of which a request that waits chooses one.
 	claimSample = 3
-	maxClaims   = 2
 	// maxRoomAsks limits at how many engines a request asks for room before it waits.
 	maxRoomAsks = 2
 	// answerMargin is reserved for sending the answer to the caller.
@@ -128,6 +126,9 @@
 	TakeTurn func(scope uint64, parts []detector.Probation, until time.Time) (end func(), granted bool)
 	// TakeRoom asks for room for a prompt at the engine with a key.
 	TakeRoom func(key uint64, request reserver.Request) reserver.Answer
+	// EndClaim tells that the prompt with an id waits for room at the engine with a key no
+	// more.
+	EndClaim func(key, id uint64)
 	// LastUseMillis is how long an endpoint may still get requests after it has said
 	// that it leaves.
 	LastUseMillis int
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -2,11 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"wisteriadrum/judge"
-	"wisteriadrum/monitor"
 	"wisteriadrum/placer"
 	"wisteriadrum/refuser"
 	"wisteriadrum/reserver"
@@ -21,7 +19,11 @@
 func (r *Relayer) takeRoom(e *exchange) bool {
 	claims := e.endpoint == e.claimed
 	e.claimAsked = e.claimAsked || claims
-	if r.askRoom(e, claims) == reserver.Granted {
+	answer := r.askRoom(e, claims)
+	if claims {
+		e.queued = answer == reserver.Refused
+	}
+	if answer == reserver.Granted {
 		return true
 	}
 	e.roomless = append(e.roomless, e.endpoint)
@@ -48,29 +50,25 @@
 		return nil
 	}
 	choice, endpoint, source := e.choice, e.endpoint, e.source
-	e.crowded = nil
-	for range maxClaims {
-		answer := r.claim(e)
-		if answer == reserver.Granted {
-			return nil
-		}
-		e.choice, e.endpoint, e.source = choice, endpoint, source
-		if answer == reserver.Refused {
-			return nil
-		}
+	answer := r.claim(e)
+	if answer == reserver.Granted {
+		return nil
+	}
+	crowded := e.endpoint
+	e.choice, e.endpoint, e.source = choice, endpoint, source
+	if answer == reserver.Refused {
+		return nil
 	}
-	return refuser.New(refuser.Overloaded, judge.NotRun, "too many prompts wait at %d endpoints", maxClaims).WithRetryAt(r.retryAt(e.request.Pool.Name, r.deps.Now()))
+	return refuser.New(refuser.Overloaded, judge.NotRun, "too many prompts wait at endpoint %s", crowded.Entry().Name).WithRetryAt(r.retryAt(e.request.Pool.Name, r.deps.Now()))
 }
 
 // claim chooses the engine at which the request waits for its turn, the best of a few, so
 // that those who wait spread over the engines, and asks for room there.
 func (r *Relayer) claim(e *exchange) reserver.Answer {
+	r.endClaim(e)
 	e.claimed, e.sampling = nil, true
 	refusal := r.choose(e, false, r.deps.Now())
 	e.sampling = false
-	if refusal != nil && len(e.crowded) > 0 {
-		return reserver.Crowded // no other engine was found
-	}
 	if refusal != nil {
 		return reserver.Refused
 	}
@@ -83,18 +81,19 @@
 	case reserver.Granted:
 		e.choice.Full = false
 	case reserver.Refused:
-		e.claimed = e.endpoint
+		e.claimed, e.queued = e.endpoint, true
 		e.claims++
-	case reserver.Crowded:
-		e.crowded = append(e.crowded, e.endpoint)
 	}
 	return answer
 }
 
-// skips reports whether an engine, one of so many, is left out of the few of which the
-// request chooses one to wait at.
-func (e *exchange) skips(endpoint *monitor.Monitor, engines int) bool {
-	return slices.Contains(e.crowded, endpoint) || rand.IntN(engines) >= claimSample
+// endClaim ends the wait at the claimed engine, so that no room is saved there any more.
+func (r *Relayer) endClaim(e *exchange) {
+	if !e.queued {
+		return
+	}
+	e.queued = false
+	go r.deps.EndClaim(e.claimed.Key, e.roomID)
 }
 
 // giveUpAt returns until when a request that came to wait at now waits for room: for half of
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -19,7 +19,7 @@
 	// maxHold is how long room is saved for the first prompt in the queue: longer than the
 	// prompts that run take to end. One that finds no room meanwhile, beside short
 	// requests, would find none later.
-	maxHold = time.Second
+	maxHold = 2 * time.Second
 	// maxMillis bounds the times in a request: a day.
 	maxMillis = 24 * 60 * 60 * 1000
 )
@@ -48,6 +48,8 @@
 	Priority int
 	// Claims means that the prompt waits at this engine if it gets no room now.
 	Claims bool
+	// Ends means that the prompt waits at this engine no more, and asks for nothing.
+	Ends bool
 	// WaitedMillis is how long ago the prompt came.
 	WaitedMillis int
 	// QueueMillis is how long the prompts before this one may have waited if it is to wait
@@ -84,6 +86,10 @@
 // instance knows.
 func (r Reserver) Take(request Request, usedTokens int, now time.Time) (Reserver, Answer) {
 	next := r.withoutExpired(now)
+	if request.Ends {
+		next.end(false, func(c claim) bool { return c.id == request.ID })
+		return next, Refused
+	}
 	for _, granted := range next.grants {
 		usedTokens += granted.tokens
 	}
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -82,6 +82,9 @@
 				e.take(1, 35000, 1)
 			}
 		}, false},
+		"claim ended": {func(e *engine, _ *reserver.Request) {
+			e.ask(reserver.Request{ID: 1, Ends: true})
+		}, true},
 		"both fit":           {func(e *engine, _ *reserver.Request) { e.running = 0 }, true},
 		"the turn has come":  {func(e *engine, _ *reserver.Request) { e.running = 0; e.take(1, 35000, 1) }, true},
 		"the turn took room": {func(e *engine, _ *reserver.Request) { e.running = 0; e.take(1, 35000, 1); e.running = 5000 }, false},
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -178,7 +178,7 @@
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
 		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
-		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, AnnounceTaken: r.sharer.AnnounceTaken, AnnounceRefusing: r.sharer.AnnounceRefusing, TakePermit: r.permitter.Take, TakeRoom: r.granter.Take, TakeTurn: r.admitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
+		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, AnnounceTaken: r.sharer.AnnounceTaken, AnnounceRefusing: r.sharer.AnnounceRefusing, TakePermit: r.permitter.Take, TakeRoom: r.granter.Take, EndClaim: r.granter.EndClaim, TakeTurn: r.admitter.Take, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
 	})
 	r.acceptor = acceptor.New(deps.Translator, state, r.relayer, count, log, time.Now)
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
