--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -222,6 +222,10 @@
 func (m *Monitor) RecordFailure(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.recordFailure(now)
+}
+
+func (m *Monitor) recordFailure(now time.Time) {
 	m.failures++
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
 	m.backoffUntil = now.Add(backoff)
@@ -232,12 +236,12 @@
 // connections, or at several instances, at one moment count as one.
 func (m *Monitor) RecordReset(now time.Time) bool {
 	m.mu.Lock()
-	inBackoff := m.backoffUntil.After(now)
-	m.mu.Unlock()
-	if !inBackoff {
-		m.RecordFailure(now)
+	defer m.mu.Unlock()
+	if m.backoffUntil.After(now) {
+		return false
 	}
-	return !inBackoff
+	m.recordFailure(now)
+	return true
 }
 
 // View is a snapshot of an endpoint's state for placing one request.
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -23,7 +23,7 @@
 // or too many wait before it.
 func (r *Relayer) waitForRoom(ctx context.Context, e *exchange) *refuser.Refusal {
 	startedAt := r.deps.Now()
-	giveUpAt := giveUpAt(e, startedAt)
+	giveUpAt := waitDeadline(e, startedAt)
 	ticket := &queuer.Ticket{Priority: e.request.Priority(), Arrived: e.request.ReceivedAt, TargetBy: e.request.Route.TargetDeadline(e.request.ReceivedAt)}
 	held := r.queue(e.request.Pool.Name)
 	defer held.Leave(ticket)
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -96,18 +96,18 @@
 	go r.deps.EndClaim(e.claimed.Key, e.roomID)
 }
 
-// giveUpAt returns until when a request that came to wait at now waits for room: for half of
-// its time at most, so that its caller has time to retry, and only while an engine could
-// still begin to answer before the caller leaves.
-func giveUpAt(e *exchange, now time.Time) time.Time {
-	giveUpAt := now.Add(e.deadline.Sub(now) / 2)
+// waitDeadline returns until when a request that came to wait at now waits for room: for
+// half of its time at most, so that its caller has time to retry, and only while an engine
+// could still begin to answer before the caller leaves.
+func waitDeadline(e *exchange, now time.Time) time.Time {
+	half := now.Add(e.deadline.Sub(now) / 2)
 	leavesAt, known := e.request.Route.PatienceDeadline(e.request.ReceivedAt)
 	if !known || e.answer.Begun() {
-		return giveUpAt
+		return half
 	}
 	startBy := leavesAt.Add(-time.Duration(placer.IdleMillis(e.request.PromptTokens)) * time.Millisecond)
-	if startBy.Before(giveUpAt) {
+	if startBy.Before(half) {
 		return startBy
 	}
-	return giveUpAt
+	return half
 }
