--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,8 +126,7 @@
 	TakeTurn func(scope uint64, parts []detector.Probation, until time.Time) (end func(), granted bool)
 	// TakeRoom asks for room for a prompt at the engine with a key.
 	TakeRoom func(key uint64, request reserver.Request) reserver.Answer
-	// EndClaim tells that the prompt with an id waits for room at the engine with a key no
-	// more.
+	// EndClaim ends the claim for room of the prompt with an id at the engine with a key.
 	EndClaim func(key, id uint64)
 	// LastUseMillis is how long an endpoint may still get requests after it has said
 	// that it leaves.
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -1,6 +1,6 @@
-// Package reserver decides which prompts get room at one engine. The instance that decides
-// for an engine grants room for prompts whose load the others do not tell yet, and saves
-// room for those that wait, in the order in which they came.
+// Package reserver decides which prompts get room at one engine. It counts granted prompts
+// until they show in the shared load, and saves room for prompts that wait, in the order of
+// their arrival.
 package reserver
 
 import (
