Add review case 1: a report without an end kills the lease holders

One worker of four answers everything with bytes that do not end, and new weights are named. The holder of the lease keeps all that arrives of the worker's report, exceeds its memory limit and is killed; its next process and the next holder do the same. Each time the requests under way at sound workers are lost.

--- /dev/null
+++ b/review/driver/case_memory.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// loadClients are the channels of clients of each kind at each instance.
+const loadClients = 8
+
+// maxLost is how many requests a machine may lose.
+const maxLost = 3
+
+// load sends requests over kept channels to all instances until stop is set, and returns
+// what became of them.
+func (s *scene) load(stop *atomic.Bool) func() []outcome {
+	var mu sync.Mutex
+	var all []outcome
+	var clients sync.WaitGroup
+	for _, i := range s.instances {
+		for index := range 2 * loadClients {
+			r := request{method: http.MethodPost, path: "/book/x", limit: 1500 * time.Millisecond}
+			if index%2 == 1 {
+				r = request{method: http.MethodPost, path: "/check/x", stream: true, parts: fmt.Sprintf("ab%02d:300,cd%s%02d:100", index%4, i.name[6:], index), limit: 8 * time.Second}
+			}
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				c := s.newChannel(i)
+				defer c.close()
+				for !stop.Load() {
+					o := c.send(r)
+					mu.Lock()
+					all = append(all, o)
+					mu.Unlock()
+					if o.status != http.StatusOK {
+						time.Sleep(300 * time.Millisecond)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+		}
+	}
+	return func() []outcome {
+		clients.Wait()
+		return all
+	}
+}
+
+// judgeLost returns how often a machine closed a kept channel without an answer to a
+// request that it had passed on to a sound worker, if that was too often.
+func (s *scene) judgeLost(all []outcome, sick *worker) string {
+	lost := map[string]int{}
+	for _, o := range all {
+		if !o.kept || !o.closed || o.status != 0 {
+			continue
+		}
+		for _, r := range s.runsOf(o.id) {
+			if r.worker != sick.name {
+				lost[o.instance]++
+				s.note("lost", "%s at %s ran at %s", o.id, o.instance, r.worker)
+				break
+			}
+		}
+	}
+	broken := ""
+	for _, i := range s.instances {
+		kills := len(i.memoryKills())
+		s.note("count", "%s lost %d requests and was killed %d times over its memory limit", i.name, lost[i.name], kills)
+		if lost[i.name] > maxLost && kills > 0 {
+			broken += fmt.Sprintf("LOST: %s lost %d requests that it had passed on to sound workers from kept channels, and exceeded memoryMb %d times; ", i.name, lost[i.name], kills)
+		}
+	}
+	return broken
+}
+
+// startLoaded starts workers, instances and clients. The last worker is the one to fall
+// sick.
+func (s *scene) startLoaded(engines int) (sick *worker, stop *atomic.Bool, outcomes func() []outcome, err error) {
+	s.putManifest(1)
+	s.putVersion(1)
+	for _, name := range []string{"a-1", "a-2"} {
+		if _, err := s.newWorker(name, plain, 200*time.Millisecond, 0, 0); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	for index := range engines {
+		if sick, err = s.newWorker(fmt.Sprintf("w-%d", index+1), service, 0, 400*time.Millisecond, 600*time.Millisecond); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	if err := s.startInstances(3); err != nil {
+		return nil, nil, nil, err
+	}
+	time.Sleep(contactTime)
+	stop = &atomic.Bool{}
+	return sick, stop, s.load(stop), nil
+}
+
+// runEndlessReport lets one worker of four answer everything with bytes without an end,
+// and names new weights. It checks that no machine loses requests at sound workers.
+func runEndlessReport(s *scene) (string, error) {
+	sick, stop, outcomes, err := s.startLoaded(4)
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(4 * time.Second)
+	if s.trouble {
+		s.note("trouble", "%s answers with bytes that do not end", sick.name)
+		sick.sick.Store(true)
+	}
+	time.Sleep(2 * time.Second)
+	s.putVersion(2)
+	time.Sleep(25 * time.Second)
+	stop.Store(true)
+	return s.judgeLost(outcomes(), sick), nil
+}
+
+// runEndlessAnswer is the same for a worker that fails with a body without an end, without
+// new weights.
+func runEndlessAnswer(s *scene) (string, error) {
+	sick, stop, outcomes, err := s.startLoaded(3)
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(4 * time.Second)
+	if s.trouble {
+		s.note("trouble", "%s answers with bytes that do not end", sick.name)
+		sick.sickHead = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\n\r\n"
+		sick.sick.Store(true)
+	}
+	time.Sleep(25 * time.Second)
+	stop.Store(true)
+	return s.judgeLost(outcomes(), sick), nil
+}
