--- a/review/driver/case_keys.go
+++ b/review/driver/case_keys.go
@@ -10,7 +10,7 @@
 // request with a key runs later than configApplyMs after the last of these manifests.
 func runLastKey(s *scene) (string, error) {
 	keys := []string{"key-one", "key-two", "key-three"}
-	current := []map[string]any{tenant("t-1", false, keys[0]), tenant("t-2", false, keys[1]), tenant("t-3", false, keys[2])}
+	current := []map[string]any{tenant("t-1", keys[0]), tenant("t-2", keys[1]), tenant("t-3", keys[2])}
 	s.putManifest(1, current...)
 	for _, name := range []string{"a-1", "a-2"} {
 		if _, err := s.newWorker(name, plain, 20*time.Millisecond, 0, 0); err != nil {
@@ -31,7 +31,7 @@
 	}
 	for index := range revoked {
 		current = append([]map[string]any(nil), current...)
-		current[index] = tenant(fmt.Sprintf("t-%d", index+1), false)
+		current[index] = tenant(fmt.Sprintf("t-%d", index+1))
 		s.putManifest(index+2, current...)
 		time.Sleep(400 * time.Millisecond)
 	}
--- a/review/driver/case_memory.go
+++ b/review/driver/case_memory.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,18 +16,14 @@
 // maxLost is how many requests a machine may lose.
 const maxLost = 3
 
-// load sends requests over kept channels to all instances until stop is set, and returns
-// what became of them.
-func (s *scene) load(stop *atomic.Bool) func() []outcome {
+// load sends each of the requests over a kept channel of its own to all instances until
+// stop is set, and returns what became of them.
+func (s *scene) load(stop *atomic.Bool, requests []request) func() []outcome {
 	var mu sync.Mutex
 	var all []outcome
 	var clients sync.WaitGroup
 	for _, i := range s.instances {
-		for index := range 2 * loadClients {
-			r := request{method: http.MethodPost, path: "/book/x", limit: 1500 * time.Millisecond}
-			if index%2 == 1 {
-				r = request{method: http.MethodPost, path: "/check/x", stream: true, parts: fmt.Sprintf("ab%02d:300,cd%s%02d:100", index%4, i.name[6:], index), limit: 8 * time.Second}
-			}
+		for _, r := range requests {
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
@@ -39,7 +37,7 @@
 					if o.status != http.StatusOK {
 						time.Sleep(300 * time.Millisecond)
 					}
-					time.Sleep(100 * time.Millisecond)
+					time.Sleep(50*time.Millisecond + rand.N(100*time.Millisecond))
 				}
 			}()
 		}
@@ -68,10 +66,10 @@
 	}
 	broken := ""
 	for _, i := range s.instances {
-		kills := len(i.memoryKills())
-		s.note("count", "%s lost %d requests and was killed %d times over its memory limit", i.name, lost[i.name], kills)
-		if lost[i.name] > maxLost && kills > 0 {
-			broken += fmt.Sprintf("LOST: %s lost %d requests that it had passed on to sound workers from kept channels, and exceeded memoryMb %d times; ", i.name, lost[i.name], kills)
+		ends := i.endedByItself()
+		s.note("count", "%s lost %d requests, %d of its processes ended by themselves", i.name, lost[i.name], ends)
+		if lost[i.name] > maxLost {
+			broken += fmt.Sprintf("LOST: %s lost %d requests that it had passed on to sound workers from kept channels, %d of its processes ended by themselves; ", i.name, lost[i.name], ends)
 		}
 	}
 	return broken
@@ -97,12 +95,16 @@
 	}
 	time.Sleep(contactTime)
 	stop = &atomic.Bool{}
-	return sick, stop, s.load(stop), nil
+	return sick, stop, s.loadWith(stop, loadClients, loadClients), nil
 }
 
-// runEndlessReport lets one worker of four answer everything with bytes without an end,
-// and names new weights. It checks that no machine loses requests at sound workers.
-func runEndlessReport(s *scene) (string, error) {
+// runEndless lets one worker answer everything with bytes without an end and names new
+// weights. It checks that no machine loses requests at sound workers. With VARIANT=length
+// the head of these answers has a length that nobody can send. With VARIANT=answer the
+// worker fails requests with such a body, and no weights are named.
+func runEndless(s *scene) (string, error) {
+	variant := os.Getenv("VARIANT")
+	s.note("variant", "%q", variant)
 	sick, stop, outcomes, err := s.startLoaded(4)
 	if err != nil {
 		return "", err
@@ -110,27 +112,17 @@
 	time.Sleep(4 * time.Second)
 	if s.trouble {
 		s.note("trouble", "%s answers with bytes that do not end", sick.name)
+		switch variant {
+		case "length":
+			sick.sickHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1000000000000000\r\n\r\n"
+		case "answer":
+			sick.sickHead = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\n\r\n"
+		}
 		sick.sick.Store(true)
 	}
 	time.Sleep(2 * time.Second)
-	s.putVersion(2)
-	time.Sleep(25 * time.Second)
-	stop.Store(true)
-	return s.judgeLost(outcomes(), sick), nil
-}
-
-// runEndlessAnswer is the same for a worker that fails with a body without an end, without
-// new weights.
-func runEndlessAnswer(s *scene) (string, error) {
-	sick, stop, outcomes, err := s.startLoaded(3)
-	if err != nil {
-		return "", err
-	}
-	time.Sleep(4 * time.Second)
-	if s.trouble {
-		s.note("trouble", "%s answers with bytes that do not end", sick.name)
-		sick.sickHead = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\n\r\n"
-		sick.sick.Store(true)
+	if variant != "answer" {
+		s.putVersion(2)
 	}
 	time.Sleep(25 * time.Second)
 	stop.Store(true)
--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -35,6 +35,8 @@
 	// timedOut means that the client stopped waiting.
 	timedOut bool
 	err      error
+	// leaving is the name of the worker if it said in its answer that it leaves.
+	leaving string
 }
 
 // channel is a client's channel to an instance.
@@ -110,6 +112,9 @@
 		return err
 	}
 	o.status = response.StatusCode
+	if response.Header.Get("Server-Leaving") == "1" {
+		o.leaving = response.Header.Get("X-Instance-Id")
+	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return err
 	}
--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -21,6 +21,7 @@
 	lastPort     = 17355
 	metricsPort  = 9464
 	memoryMb     = 134
+	maxFds       = 4100
 	contactTime  = 3000 * time.Millisecond
 	leaseTime    = 3000 * time.Millisecond
 	configTime   = 2000 * time.Millisecond
@@ -52,7 +53,7 @@
 cpuShare = 0.4
 cores = 1
 memoryMb = %[7]d
-maxFds = 4100
+maxFds = %[9]d
 linkMbps = 1000.0
 diskMb = 0
 [faultTolerance]
@@ -105,14 +106,16 @@
 	name, ip   string
 	configPath string
 
-	mu        sync.Mutex
-	command   *exec.Cmd
-	startedAt time.Time
+	mu      sync.Mutex
+	command *exec.Cmd
 	// ended means that the case is over, downUntil until when the machine stays down.
 	ended     bool
 	downUntil time.Time
-	// kills are the times at which the platform killed a process over its memory limit.
-	kills []time.Time
+	// ownEnds counts the processes that ended by themselves, those included that the
+	// platform killed over their memory limit.
+	ownEnds int
+	// killed means that the process in progress was killed as a disruption.
+	killed bool
 }
 
 // newInstance starts an instance. Its process is started again whenever it ends.
@@ -126,7 +129,7 @@
 		return nil, err
 	}
 	i := &instance{scene: s, name: name, ip: ip, configPath: filepath.Join(s.folder, name+".toml")}
-	text := fmt.Sprintf(settings, name, ip, firstPort, lastPort, frontPort, readyPort, memoryMb, platform)
+	text := fmt.Sprintf(settings, name, ip, firstPort, lastPort, frontPort, readyPort, memoryMb, platform, maxFds)
 	if err := os.WriteFile(i.configPath, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write the settings: %w", err)
 	}
@@ -165,14 +168,15 @@
 	if err != nil {
 		return fmt.Errorf("open the log: %w", err)
 	}
-	command := exec.Command(i.scene.program[0], i.scene.program[1:]...)
+	// The shell sets the limit of descriptors and is replaced by the program.
+	command := exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxFds)}, i.scene.program...)...)
 	command.Env = []string{"WISTERIADRUM_CONFIG=" + i.configPath, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", i.name, err)
 	}
 	i.mu.Lock()
-	i.command, i.startedAt = command, time.Now()
+	i.command, i.killed = command, false
 	i.mu.Unlock()
 	i.scene.note("start", "%s pid %d", i.name, command.Process.Pid)
 	go i.restart(command, log)
@@ -183,6 +187,11 @@
 func (i *instance) restart(command *exec.Cmd, log *os.File) {
 	err := command.Wait()
 	_ = log.Close()
+	i.mu.Lock()
+	if !i.ended && !i.killed {
+		i.ownEnds++
+	}
+	i.mu.Unlock()
 	i.scene.note("end", "%s: %v", i.name, err)
 	for {
 		i.mu.Lock()
@@ -208,7 +217,7 @@
 func (i *instance) kill(down time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.downUntil = time.Now().Add(down)
+	i.downUntil, i.killed = time.Now().Add(down), true
 	_ = i.command.Process.Kill() // it may have ended
 	i.scene.note("kill", "%s pid %d", i.name, i.command.Process.Pid)
 }
@@ -223,18 +232,11 @@
 	}
 }
 
-// pid returns the id of the process and since when it runs.
-func (i *instance) pid() (int, time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.command.Process.Pid, i.startedAt
-}
-
-// memoryKills returns when the platform killed a process over its memory limit.
-func (i *instance) memoryKills() []time.Time {
+// endedByItself returns how many processes ended by themselves.
+func (i *instance) endedByItself() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return append([]time.Time(nil), i.kills...)
+	return i.ownEnds
 }
 
 // ready reports whether the instance says that it is ready.
@@ -267,7 +269,6 @@
 		}
 		i.mu.Lock()
 		if i.command.Process.Pid == pid {
-			i.kills = append(i.kills, time.Now())
 			_ = i.command.Process.Kill() // it may have ended
 		}
 		i.mu.Unlock()
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -29,11 +29,11 @@
 
 // cases are the cases by name. Each returns what broke the rule, "" if it held.
 var cases = map[string]func(*scene) (string, error){
-	"endless-report": runEndlessReport,
-	"endless-answer": runEndlessAnswer,
-	"second-holder":  runSecondHolder,
-	"last-key":       runLastKey,
-	"late-wall":      runLateWall,
+	"endless":       runEndless,
+	"second-holder": runSecondHolder,
+	"last-key":      runLastKey,
+	"odd-entry":     runOddEntry,
+	"releases":      runReleases,
 }
 
 func main() {
--- a/review/driver/manifest.go
+++ b/review/driver/manifest.go
@@ -13,8 +13,8 @@
 }
 
 // tenant returns a tenant of the manifest.
-func tenant(name string, isolated bool, keys ...string) map[string]any {
-	return map[string]any{"name": name, "apiKeys": append([]string{}, keys...), "priority": 0, "isolated": isolated}
+func tenant(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "apiKeys": append([]string{}, keys...), "priority": 0, "isolated": false}
 }
 
 // putManifest writes a version of the manifest as the operator.
--- a/review/driver/scene.go
+++ b/review/driver/scene.go
@@ -37,7 +37,6 @@
 	at       time.Time
 	key      string
 	tenant   string
-	salt     string
 	complete bool
 }
 
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -70,6 +70,14 @@
 	s.write(row{Table: table, Key: key, Value: encoded})
 }
 
+// remove removes a row as a worker does that has left.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.write(row{Table: table, Key: key, Deleted: true})
+}
+
 // write stores a row at the current version. The caller holds the lock.
 func (s *store) write(r row) {
 	r.Ver = s.version
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -16,6 +16,11 @@
 	beatTime = 1200 * time.Millisecond
 	// loadTime is how long a worker loads new weights.
 	loadTime = 1100 * time.Millisecond
+	// drainTime is drainMs, and drainRest how much longer a worker that leaves serves.
+	drainTime = 2000 * time.Millisecond
+	drainRest = 500 * time.Millisecond
+	// silentTime is how long a worker that leaves without a report is still listed.
+	silentTime = time.Second
 	// linkBytes is the rate of a worker's link in bytes a second.
 	linkBytes = 1000e6 / 8
 	model     = "m0"
@@ -50,7 +55,10 @@
 	sickHead string
 	link     link
 
+	server  *http.Server
 	mu      sync.Mutex
+	leaving bool
+	left    bool
 	seq     int
 	version int
 	fence   uint64
@@ -59,16 +67,6 @@
 	beats       int
 	loading     bool
 	loadVersion int
-	// kept are the parts that the worker keeps, with the tenant whose request made each.
-	kept map[string]string
-	// reuses are the uses of parts that a request of another tenant had made.
-	reuses []reuse
-}
-
-// reuse is the use of a part that another tenant's request had made.
-type reuse struct {
-	id, part, user, maker string
-	at                    time.Time
 }
 
 // newWorker starts a worker of a service and lists it in the store.
@@ -79,32 +77,76 @@
 	}
 	w := &worker{
 		scene: s, name: name, service: serviceName, address: listener.Addr().String(), work: work, first: first, rest: rest,
-		slots: 128, born: time.Now().UnixMilli(), version: 1, kept: map[string]string{},
+		slots: 128, born: time.Now().UnixMilli(), version: 1,
 		sickHead: "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n",
 	}
+	w.server = &http.Server{Handler: http.HandlerFunc(w.handle), IdleTimeout: time.Minute}
+	go func() { _ = w.server.Serve(listener) }()
 	go func() {
-		_ = (&http.Server{Handler: http.HandlerFunc(w.handle), IdleTimeout: time.Minute}).Serve(listener)
-	}()
-	go func() {
-		for ; ; time.Sleep(beatTime) {
-			w.beat()
+		for w.beat() {
+			time.Sleep(beatTime)
 		}
 	}()
 	return w, nil
 }
 
-// beat writes the worker's row.
-func (w *worker) beat() {
+// leave drains the worker and ends it.
+func (w *worker) leave() {
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	w.beat()
+	w.scene.note("drain", "%s", w.name)
+	time.Sleep(drainTime + drainRest)
+	w.unlist()
+	w.close()
+}
+
+// leaveSilently lets the worker say in its answers that it leaves, and removes its row.
+func (w *worker) leaveSilently() {
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	w.scene.note("drain", "%s leaves without a report", w.name)
+	time.Sleep(silentTime)
+	w.unlist()
+}
+
+// unlist removes the worker's row for good.
+func (w *worker) unlist() {
+	w.mu.Lock()
+	w.left = true
+	w.mu.Unlock()
+	w.scene.store.remove("servers", w.name)
+}
+
+// close ends the worker.
+func (w *worker) close() {
+	_ = w.server.Close()
+	w.scene.note("left", "%s", w.name)
+}
+
+// beat writes the worker's row unless it has left, and reports whether it has not.
+func (w *worker) beat() bool {
 	w.mu.Lock()
+	if w.left {
+		w.mu.Unlock()
+		return false
+	}
+	state := "ready"
+	if w.leaving {
+		state = "draining"
+	}
 	w.beats++
 	entry := map[string]any{
-		"service": w.service, "address": w.address, "zone": "z-a", "version": "1", "slots": w.slots, "state": "ready", "coldRemainingMs": 0, "seq": w.beats, "born": w.born,
+		"service": w.service, "address": w.address, "zone": "z-a", "version": "1", "slots": w.slots, "state": state, "coldRemainingMs": 0, "seq": w.beats, "born": w.born,
 	}
 	if w.service == service {
 		entry["models"] = []map[string]any{{"name": model, "version": w.version, "adapters": []string{}}}
 	}
 	w.mu.Unlock()
 	w.scene.store.put("servers", w.name, entry)
+	return true
 }
 
 func (w *worker) handle(out http.ResponseWriter, in *http.Request) {
@@ -113,6 +155,7 @@
 		return
 	}
 	out.Header().Set("X-Instance-Id", w.name)
+	w.sayLeaving(out)
 	if id := in.Header.Get("X-Attempt-Id"); id != "" {
 		out.Header().Set("X-Attempt-Id", id)
 	}
@@ -131,6 +174,15 @@
 	}
 }
 
+// sayLeaving adds to an answer that the worker leaves if it does.
+func (w *worker) sayLeaving(out http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leaving {
+		out.Header().Set("Server-Leaving", "1")
+	}
+}
+
 func (w *worker) report(out http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -174,7 +226,6 @@
 func (w *worker) loaded() {
 	w.mu.Lock()
 	w.version, w.loading = w.loadVersion, false
-	clear(w.kept)
 	w.mu.Unlock()
 	w.beat()
 }
@@ -202,17 +253,17 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	complete := w.scene.recordRun(id, ran{worker: w.name, at: time.Now(), key: in.Header.Get("Authorization"), tenant: in.Header.Get("X-Tenant"), salt: in.Header.Get("X-Cache-Salt")})
+	complete := w.scene.recordRun(id, ran{worker: w.name, at: time.Now(), key: in.Header.Get("Authorization"), tenant: in.Header.Get("X-Tenant")})
 	out.Header().Set("X-Server-Seal", "seal."+id)
 	if in.Header.Get("X-Model") == "" {
 		time.Sleep(w.work)
+		w.sayLeaving(out)
 		body := "answer to " + id
 		out.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = out.Write([]byte(body)) // the caller may have left
 		complete()
 		return
 	}
-	w.usePrompt(id, in)
 	out.Header().Set("X-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
 	time.Sleep(w.first)
@@ -228,33 +279,6 @@
 	complete()
 }
 
-// usePrompt looks up the parts of a prompt and keeps those that are missing.
-func (w *worker) usePrompt(id string, in *http.Request) {
-	tenant, salt := in.Header.Get("X-Tenant"), in.Header.Get("X-Cache-Salt")
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, item := range strings.Split(in.Header.Get("X-Prefix-Hash"), ",") {
-		part, _, _ := strings.Cut(item, ":")
-		key := salt + "\x00" + part
-		maker, found := w.kept[key]
-		switch {
-		case !found:
-			w.kept[key] = tenant
-			w.scene.note("kept", "%s at %s: part %s under salt %q made by tenant %s", id, w.name, part, salt, tenant)
-		case maker != tenant:
-			w.reuses = append(w.reuses, reuse{id, part, tenant, maker, time.Now()})
-			w.scene.note("reused", "%s at %s: part %s under salt %q made by tenant %s used by tenant %s", id, w.name, part, salt, maker, tenant)
-		}
-	}
-}
-
-// reused returns the uses of parts that requests of other tenants had made.
-func (w *worker) reused() []reuse {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]reuse(nil), w.reuses...)
-}
-
 // answerEndlessly sends bytes that are no answer until the caller closes.
 func (w *worker) answerEndlessly(out http.ResponseWriter, in *http.Request) {
 	conn, _, err := out.(http.Hijacker).Hijack()
