--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-driver ./review/driver
+go build -o target/review-driver ./review/platform
