--- a/review/platform/case_memory.go
+++ b/review/platform/case_memory.go
@@ -13,6 +13,9 @@
 // loadClients are the channels of clients of each kind at each instance.
 const loadClients = 8
 
+// troubleTime is how long the worker is in trouble.
+const troubleTime = 6500 * time.Millisecond
+
 // maxLost is how many requests a machine may lose.
 const maxLost = 3
 
@@ -119,12 +122,16 @@
 			sick.sickHead = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\n\r\n"
 		}
 		sick.sick.Store(true)
+		time.AfterFunc(troubleTime, func() {
+			sick.sick.Store(false)
+			s.note("trouble", "%s is sound again", sick.name)
+		})
 	}
 	time.Sleep(2 * time.Second)
 	if variant != "answer" {
 		s.putVersion(2)
 	}
-	time.Sleep(25 * time.Second)
+	time.Sleep(12 * time.Second)
 	stop.Store(true)
 	return s.judgeLost(outcomes(), sick), nil
 }
