Take retries from the budget if an unknown endpoint was reached

Cause: a send that reached another endpoint than the one named needed no budget unless that endpoint was known to be of the same pool. Endpoints that start again at their addresses have new names, which are listed only later: when a pool is restarted, each request on its way was sent again without a budget, up to four times.

Change: only an endpoint that is known to be of another pool makes the next send free.

--- a/relayer/address.go
+++ b/relayer/address.go
@@ -28,8 +28,8 @@
 // recordTaken records that another endpoint answers at the address of an attempt's endpoint.
 func (r *Relayer) recordTaken(a *attempt, found string) {
 	other := r.deps.Registrar.Fleet().All()[found]
-	if other == nil || other.Entry().Pool != a.entry.Pool {
-		a.misdirected++
+	if other != nil && other.Entry().Pool != a.entry.Pool {
+		a.misdirected++ // an unknown endpoint may be a new one of the same pool
 	}
 	now := r.deps.Now()
 	if a.endpoint.Left(now) {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -17,8 +17,9 @@
 	tried    []*monitor.Monitor
 	// sends counts all sends, runs those after which the request may have run.
 	sends, runs int
-	// misdirected counts the sends that reached an endpoint of another pool, which has the
-	// address now. The retry budget bounds the load on a pool, so these need none.
+	// misdirected counts the sends that reached an endpoint known to be of another pool,
+	// which has the address now. The retry budget bounds the load on a pool, so these need
+	// none.
 	misdirected int
 	// retryReserved reports that the next send was already taken from the
 	// budget.
