Count retries when they are sent, not when they are decided on

Cause: a retry was taken from the budget when the last send had failed, and was sent after the wait for an endpoint, up to half of the caller's time later. The budget forgot it a window after the decision, so that retries of several windows that waited for the same pool were sent together.

Ruled out: the division among instances, since one instance alone shows it.

Change: a retry is reserved when the last send has failed. Reservations count in each window until the retry is sent, which counts it then, or is not sent. If the requests that allowed it are too long ago when it could be sent, the request ends with the refusal of its last send. An attempt that ends just when it would be given up for silence is left alone.

The property test of the budget now reserves, spends and cancels, too. go test -race of relayer, budgeter and platform passes.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -34,6 +34,8 @@
 	instanceShare float64
 	slots         [windowSteps]slot
 	lastStep      int64
+	// reserved is the number of retries that were allowed and not sent yet.
+	reserved float64
 }
 
 // slot counts the requests and retries of one step of the window.
@@ -61,15 +63,58 @@
 	b.currentSlot().requests++
 }
 
-// TryRetry takes one retry from the budget and reports whether the budget
-// allowed it. The rule must hold for each span of steps that ends now, with the
-// requests of the span and of the step before it: if only older requests allowed
-// the retries, these would exceed the rule in a window that begins later.
+// TryRetry takes one retry that is sent at once from the budget and reports whether the
+// budget allowed it.
 func (b *Budget) TryRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.spend()
+}
+
+// Reserve reports whether the budget allows another retry, and reserves it until Spend or
+// Cancel is called.
+func (b *Budget) Reserve() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.allows() {
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// Spend reports whether a reserved retry may be sent now, and ends the reservation. The
+// requests that allowed the reservation may be too long ago.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+	return b.spend()
+}
+
+// Cancel ends the reservation of a retry that is not sent.
+func (b *Budget) Cancel() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
+// spend counts a retry if the budget allows it. The caller holds the lock.
+func (b *Budget) spend() bool {
+	if !b.allows() {
+		return false
+	}
+	b.currentSlot().retries++
+	return true
+}
+
+// allows reports whether the budget allows another retry beside the reserved ones. The
+// rule must hold for each span of steps that ends now, with the requests of the span and of
+// the step before it: if only older requests allowed the retries, these would exceed the
+// rule in a window that begins later. The caller holds the lock.
+func (b *Budget) allows() bool {
 	current := b.currentSlot()
-	requests, retries := current.requests, 1.0
+	requests, retries := current.requests, 1+b.reserved
 	for age := range int64(windowSteps) {
 		retries += b.slotAt(current.step - age).retries
 		requests += b.slotAt(current.step - age - 1).requests
@@ -77,7 +122,6 @@
 			return false
 		}
 	}
-	current.retries++
 	return true
 }
 
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -24,15 +24,28 @@
 			budget.SetInstances(instances)
 			budgets = append(budgets, budget)
 		}
+		reserved := make([]int, instances)
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
-			budget := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
-			if rapid.Bool().Draw(t, "request") {
+			instance := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			budget := budgets[instance]
+			switch step := rapid.SampledFrom([]string{"request", "retry", "reserve", "spend", "cancel"}).Draw(t, "step"); {
+			case step == "request":
 				budget.RecordRequest()
 				requests = append(requests, now)
-			} else if budget.TryRetry() {
+			case step == "retry" && budget.TryRetry():
 				retries = append(retries, now)
+			case step == "reserve" && budget.Reserve():
+				reserved[instance]++
+			case step == "spend" && reserved[instance] > 0:
+				reserved[instance]--
+				if budget.Spend() {
+					retries = append(retries, now)
+				}
+			case step == "cancel" && reserved[instance] > 0:
+				reserved[instance]--
+				budget.Cancel()
 			}
 			retried, requested := within(retries, now.Add(-window), now), within(requests, now.Add(-window-window/10), now)
 			assert.Assert(t, float64(retried) <= rule.Ratio*float64(requested)+rule.ExtraRetries+float64(instances), "%d retries for %d requests", retried, requested)
@@ -94,3 +107,29 @@
 	now = now.Add(time.Hour + 11*time.Second)
 	assert.Assert(t, budget.TryRetry())
 }
+
+// Guards against retries that are reserved in several windows and sent in one.
+func TestReservedRetriesFillTheBudget(t *testing.T) {
+	now := time.Now()
+	budget := budgeter.New(budgeter.Rule{ExtraRetries: 2, WindowMillis: 10000}, func() time.Time { return now })
+	assert.Assert(t, budget.Reserve() && budget.Reserve())
+	now = now.Add(11 * time.Second)
+	assert.Assert(t, !budget.Reserve() && !budget.TryRetry())
+	assert.Assert(t, budget.Spend())
+	budget.Cancel()
+	assert.Assert(t, budget.Reserve())
+	assert.Assert(t, budget.Spend())
+	assert.Assert(t, !budget.Reserve())
+}
+
+// Guards against a retry that is sent long after the requests that allowed it.
+func TestReservationEndsWithItsRequests(t *testing.T) {
+	now := time.Now()
+	budget := budgeter.New(budgeter.Rule{Ratio: 1, WindowMillis: 10000}, func() time.Time { return now })
+	budget.RecordRequest()
+	assert.Assert(t, budget.Reserve())
+	now = now.Add(12 * time.Second)
+	assert.Assert(t, !budget.Spend())
+	budget.RecordRequest()
+	assert.Assert(t, budget.TryRetry())
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wisteriadrum/allotter"
+	"wisteriadrum/budgeter"
 	"wisteriadrum/detector"
 	"wisteriadrum/framer"
 	"wisteriadrum/judge"
@@ -62,6 +63,8 @@
 	// silenceLimit is the silence after which the request is retried elsewhere.
 	silenceLimit time.Duration
 	abandoned    atomic.Bool
+	// elsewhere is the budget in which the retry of an abandoned attempt is reserved.
+	elsewhere *budgeter.Budget
 	// closeBy is when the endpoint closes the idle connection, zero if unknown.
 	closeBy time.Time
 }
@@ -117,6 +120,9 @@
 	if ctx.Err() != nil {
 		return false, endedRefusal(ctx, judge.NotRun)
 	}
+	if !r.spendRetry(a.exchange) {
+		return true, budgetRefusal
+	}
 	if refusal := r.send(a); refusal != nil {
 		return false, refusal
 	}
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -109,7 +109,6 @@
 	}
 	if a.abandoned.Load() {
 		a.endpoint.RecordFailure(now)
-		a.retryReserved = true
 		return refuser.New(refuser.Silent, judge.MayHaveRun, "endpoint %s sent nothing for %d ms", a.entry.Name, a.endpoint.SilentFor(now).Milliseconds())
 	}
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriadrum/budgeter"
 	"wisteriadrum/monitor"
 	"wisteriadrum/placer"
 	"wisteriadrum/requester"
@@ -21,9 +22,8 @@
 	// which has the address now. The retry budget bounds the load on a pool, so these need
 	// none.
 	misdirected int
-	// retryReserved reports that the next send was already taken from the
-	// budget.
-	retryReserved bool
+	// reserved is the budget in which the next send is reserved, nil if it is not.
+	reserved *budgeter.Budget
 	// lastEventID is the id of the last event that was relayed.
 	lastEventID string
 	choice      placer.Choice
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -198,6 +198,7 @@
 
 // relay makes attempts until one succeeds or the request must not be retried.
 func (r *Relayer) relay(ctx context.Context, e *exchange) *refuser.Refusal {
+	defer e.cancelRetry()
 	ran := judge.NotRun
 	var cause *refuser.Refusal
 	for {
@@ -208,10 +209,14 @@
 			return refusal.WithVerdict(max(ran, refusal.Ran))
 		}
 		r.recordPlaced(e)
-		cause = r.runAttempt(ctx, e)
-		if cause == nil {
+		failure := r.runAttempt(ctx, e)
+		if failure == nil {
 			return nil
 		}
+		if failure == budgetRefusal {
+			return cause.WithVerdict(ran)
+		}
+		cause = failure
 		ran = max(ran, cause.Ran)
 		if cause.Ran != judge.NotRun {
 			e.runs++
@@ -219,7 +224,6 @@
 		if !r.reserveRetry(ctx, e, cause) {
 			return cause.WithVerdict(ran)
 		}
-		e.retryReserved = false
 		e.tried = append(e.tried, e.endpoint)
 		r.logFailedAttempt(e, cause)
 	}
@@ -248,27 +252,6 @@
 	return r.waitForPlace(ctx, e)
 }
 
-// reserveRetry reports whether the request is sent to another endpoint after
-// cause, and takes that retry from the budget unless it was taken already or no send has
-// reached the pool.
-func (r *Relayer) reserveRetry(ctx context.Context, e *exchange, cause *refuser.Refusal) bool {
-	if ctx.Err() != nil || e.answer.Err() != nil {
-		return false
-	}
-	if cause.Ran != judge.NotRun && (!e.request.Repeatable() || e.runs >= e.request.Route.Attempts) {
-		return false
-	}
-	if e.sends >= maxSends {
-		return false
-	}
-	if e.sends > e.misdirected && !e.retryReserved && !r.budget(e.request.Pool.Name).TryRetry() {
-		r.deps.Count.Add("retry", "exhausted")
-		return false
-	}
-	e.retryReserved = true
-	return true
-}
-
 // endToEndFields returns the header fields of an endpoint's answer without the
 // hop-by-hop fields.
 func endToEndFields(head *framer.Head) []framer.Field {
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -25,15 +25,29 @@
 	for r.awaitWatched(ctx) && pacer.Wait(ctx, silenceCheckInterval) {
 		now := r.deps.Now()
 		for _, a := range r.silentAttempts(now) {
-			if !r.budget(a.request.Pool.Name).TryRetry() {
-				continue // the budget allows no retry
-			}
-			a.abandoned.Store(true)
-			_ = a.conn.SetDeadline(time.Unix(1, 0)) // unblocks the reader, which reports the failure
+			r.abandon(a)
 		}
 	}
 }
 
+// abandon ends an attempt whose retry the budget allows, unless it has ended meanwhile: its
+// connection may carry another request then.
+func (r *Relayer) abandon(a *attempt) {
+	budget := r.budget(a.request.Pool.Name)
+	if !budget.Reserve() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, watched := r.watched[a]; !watched {
+		budget.Cancel()
+		return
+	}
+	a.elsewhere = budget
+	a.abandoned.Store(true)
+	_ = a.conn.SetDeadline(time.Unix(1, 0)) // unblocks the reader, which reports the failure
+}
+
 // awaitWatched waits until there is an attempt to watch. It returns false when ctx
 // ends.
 func (r *Relayer) awaitWatched(ctx context.Context) bool {
@@ -85,11 +99,19 @@
 	case r.watchStarted <- struct{}{}:
 	default: // the watch runs already
 	}
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.watched, a)
+	return func() { r.endWatch(a) }
+}
+
+// endWatch removes a from the watched attempts. If it was abandoned, its retry is reserved.
+func (r *Relayer) endWatch(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.watched, a)
+	if a.elsewhere == nil {
+		return
 	}
+	a.cancelRetry() // an answer that arrived all the same may have reserved one
+	a.reserved = a.elsewhere
 }
 
 // recordProgress records that the endpoint sent data for this request.
