Reset the connection of an attempt that was given up

Cause: an attempt that is given up (silence, an answer without a mark, bytes that are no answer, a broken stream, weights out of use, memory, a caller that left) ended with an ordinary close. The kernel queues the end of a connection behind what was written before. When a body does not fit into the buffers of an endpoint that has begun to work and reads no further, the end never arrives: after TCP_USER_TIMEOUT the kernel drops the connection without a word. The request was sent elsewhere at once.

Ruled out: small requests, whose end the endpoint's kernel has at once; a connection that the endpoint's own reset or close ended.

Change: if the request may have run, the connection is reset (a linger time of zero), which drops what was not sent and passes a closed window.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -107,13 +107,23 @@
 	stop := context.AfterFunc(receiving, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reusable, refusal := r.sendAndReceive(ctx, a)
 	if !stop() || !reusable || conn.SetDeadline(time.Time{}) != nil {
-		_ = conn.Close()
+		a.closeConn(refusal)
 		return refusal
 	}
 	r.deps.Pool.Put(a.entry.Address, conn, a.closeBy)
 	return refusal
 }
 
+// closeConn closes the connection. If the endpoint may still work on the request, the
+// connection is reset, so that it learns of the end before the request goes on elsewhere.
+func (a *attempt) closeConn(refusal *refuser.Refusal) {
+	if refusal == nil || refusal.Ran == judge.NotRun {
+		_ = a.conn.Close()
+		return
+	}
+	a.conn.Reset()
+}
+
 // sendAndReceive sends the request and relays the answer. It reports whether
 // the connection can be reused.
 func (r *Relayer) sendAndReceive(ctx context.Context, a *attempt) (bool, *refuser.Refusal) {
