Leave a kept connection alone when its attempt has ended

Callers saw: a request that was sent on a kept connection fails as timed out (504 if it may run once), or, if it may be repeated, is sent to a second endpoint, while the first one works on it and is not silent.

Cause: the watch of silent endpoints and the limit of outdated weights were ended after the connection had been kept for reuse. In between they set a deadline in the past on it. The check under the lock (is the attempt still watched?) did not help, since it still was.

Ruled out: the end of the caller and the end of memory, whose callback is stopped before the connection is kept.

Change: an attempt ends, under a lock, before its connection is released; every interruption asks under that lock whether it has.

The window is short on a machine: that it was hit there is not shown.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,26 @@
 	elsewhere *budgeter.Budget
 	// closeBy is when the endpoint closes the idle connection, zero if unknown.
 	closeBy time.Time
+
+	mu sync.Mutex
+	// ended means that the connection may carry another request.
+	ended bool
+}
+
+// interrupt makes the reception of the answer fail unless the attempt has ended.
+func (a *attempt) interrupt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		_ = a.conn.SetDeadline(time.Unix(1, 0)) // unblocks the reader, which reports the failure
+	}
+}
+
+// end ends the attempt: its connection is not interrupted any more.
+func (a *attempt) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
 }
 
 // runAttempt sends the request to the chosen endpoint and relays the answer.
@@ -104,8 +125,9 @@
 	defer evict()
 	a.memory = r.deps.Received.Open(receiving, a.deadline, evict)
 	defer a.memory.Close()
-	stop := context.AfterFunc(receiving, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(receiving, a.interrupt)
 	reusable, refusal := r.sendAndReceive(ctx, a)
+	a.end()
 	if !stop() || !reusable || conn.SetDeadline(time.Time{}) != nil {
 		a.closeConn(refusal)
 		return refusal
--- a/relayer/watch.go
+++ b/relayer/watch.go
@@ -45,7 +45,7 @@
 	}
 	a.elsewhere = budget
 	a.abandoned.Store(true)
-	_ = a.conn.SetDeadline(time.Unix(1, 0)) // unblocks the reader, which reports the failure
+	a.interrupt()
 }
 
 // awaitWatched waits until there is an attempt to watch. It returns false when ctx
--- a/relayer/weights.go
+++ b/relayer/weights.go
@@ -35,7 +35,7 @@
 			required, binding := r.requiredWeights(a.request.Model, closeDelay)
 			if binding && a.weights < required && a.settled.CompareAndSwap(false, true) {
 				a.outdated.Store(true)
-				_ = a.conn.SetDeadline(time.Unix(1, 0)) // unblocks the reader, which reports the failure
+				a.interrupt()
 			}
 			return
 		}
