Send a request that comes back to an address on a new connection

Cause: answers are matched by the id of the request. When a request comes back to an endpoint that refused it, on the same kept connection, a second copy of that refusal has the right id and counts as the answer to the current send: not run, so it goes on elsewhere, while the endpoint runs it. An endpoint is excluded after a send by its monitor; when its entry is listed anew (another start, another address), the monitor is a new one, and connections are kept by address.

Ruled out: a copy that arrives before the connection is taken (the pool discards it), and copies for other requests (skipped by their id).

Change: a request that was sent to an address before is sent there on a new connection.

It needs two faults of others at once, a second copy and an entry that is listed anew between two sends; it is not shown that the users' cases had both.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +109,8 @@
 		a.beginTransfer(r.deps.Now())
 		defer func() { a.endTransfer() }()
 	}
-	conn, err := r.deps.Pool.Get(a.entry.Address, false)
+	// On the connection of an earlier send, a second copy of its answer may arrive.
+	conn, err := r.deps.Pool.Get(a.entry.Address, slices.Contains(e.addresses, a.entry.Address))
 	if err != nil {
 		r.recordDialFailure(e.endpoint, err)
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "dial endpoint %s: %s", a.entry.Name, err)
@@ -177,6 +179,7 @@
 // send writes the request, large ones in a separate goroutine.
 func (r *Relayer) send(a *attempt) *refuser.Refusal {
 	a.sends++
+	a.addresses = append(a.addresses, a.entry.Address)
 	a.marks = r.deps.Detector.Marks(a.request, r.deps.Now())
 	buffer := make([]byte, 0, 1024+min(len(a.request.Body), concurrentWriteBytes))
 	buffer = r.deps.Translator.EncodeRequest(buffer, a.request, a.sendOptions(), a.sentAt)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -16,6 +16,8 @@
 	answer   *responder.Responder
 	deadline time.Time
 	tried    []*monitor.Monitor
+	// addresses are those to which the request was sent.
+	addresses []string
 	// sends counts all sends, runs those after which the request may have run.
 	sends, runs int
 	// misdirected counts the sends that reached an endpoint known to be of another pool,
