Ask before each send whether the route still lets a request run again

Cause: that the request may be repeated was decided after a failed attempt, by the route of that time. The request is looked up again before the next send, when a configuration has arrived meanwhile, and the kind of its route was not asked again.

Ruled out: a route that moves to another pool (its budget is asked again already).

Change: one decision, mayRun, after a failure and again after the lookup. It counts the earlier attempts that may have run, not only the last one.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -302,7 +302,7 @@
 	}
 	if head.Status >= 500 && a.request.Repeatable() {
 		a.runs++
-		if r.reserveRetry(ctx, a.exchange, refuser.New(refuser.Rejected, judge.Ran, "")) {
+		if r.reserveRetry(ctx, a.exchange) {
 			a.runs--
 			return reusable, refuser.New(refuser.Rejected, judge.Ran, "endpoint %s answered %d", a.entry.Name, head.Status)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -221,7 +221,7 @@
 		if cause.Ran != judge.NotRun {
 			e.runs++
 		}
-		if !r.reserveRetry(ctx, e, cause) {
+		if !r.reserveRetry(ctx, e) {
 			return cause.WithVerdict(ran)
 		}
 		e.tried = append(e.tried, e.endpoint)
@@ -245,6 +245,9 @@
 	if refusal := r.refreshRoute(e.request); refusal != nil {
 		return refusal
 	}
+	if !e.mayRun() {
+		return refuser.New(refuser.UpstreamLost, ran, "its route does not let it run again")
+	}
 	suspect, known := r.deps.Quarantine.Find(e.request.Fingerprint, now)
 	if known && suspect.Refused() {
 		return refuser.New(refuser.Quarantined, judge.NotRun, "the request crashed %d endpoints", len(suspect.Losses)).WithRetryAt(suspect.Until)
--- a/relayer/retry.go
+++ b/relayer/retry.go
@@ -11,14 +11,14 @@
 // long ago. The request ends with the refusal of its last send.
 var budgetRefusal = refuser.New(refuser.UpstreamBusy, judge.NotRun, "the retry budget is used up")
 
-// reserveRetry reports whether the request is sent to another endpoint after cause, and
+// reserveRetry reports whether the request is sent to another endpoint after a failure, and
 // reserves that retry in the budget unless it is reserved already or no send has reached
 // the pool.
-func (r *Relayer) reserveRetry(ctx context.Context, e *exchange, cause *refuser.Refusal) bool {
+func (r *Relayer) reserveRetry(ctx context.Context, e *exchange) bool {
 	if ctx.Err() != nil || e.answer.Err() != nil {
 		return false
 	}
-	if cause.Ran != judge.NotRun && (!e.request.Repeatable() || e.runs >= e.request.Route.Attempts) {
+	if !e.mayRun() {
 		return false
 	}
 	if e.sends >= maxSends {
@@ -60,6 +60,11 @@
 	return true
 }
 
+// mayRun reports whether the route allows that the request runs, once more if it may have run.
+func (e *exchange) mayRun() bool {
+	return e.runs == 0 || e.request.Repeatable() && e.runs < e.request.Route.Attempts
+}
+
 // isRetry reports whether the next send is a retry: an earlier one has reached the pool.
 func (e *exchange) isRetry() bool { return e.sends > e.misdirected }
 
