--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +69,26 @@
 	elsewhere *budgeter.Budget
 	// closeBy is when the endpoint closes the idle connection, zero if unknown.
 	closeBy time.Time
+
+	mu sync.Mutex
+	// ended means that the connection may carry another request.
+	ended bool
+}
+
+// interrupt makes the reception of the answer fail unless the attempt has ended.
+func (a *attempt) interrupt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		_ = a.conn.SetDeadline(time.Unix(1, 0)) // unblocks the reader, which reports the failure
+	}
+}
+
+// end ends the attempt: its connection is not interrupted any more.
+func (a *attempt) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
 }
 
 // runAttempt sends the request to the chosen endpoint and relays the answer.
@@ -87,7 +109,8 @@
 		a.beginTransfer(r.deps.Now())
 		defer func() { a.endTransfer() }()
 	}
-	conn, err := r.deps.Pool.Get(a.entry.Address, false)
+	// On the connection of an earlier send, a second copy of its answer may arrive.
+	conn, err := r.deps.Pool.Get(a.entry.Address, slices.Contains(e.addresses, a.entry.Address))
 	if err != nil {
 		r.recordDialFailure(e.endpoint, err)
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "dial endpoint %s: %s", a.entry.Name, err)
@@ -104,16 +127,27 @@
 	defer evict()
 	a.memory = r.deps.Received.Open(receiving, a.deadline, evict)
 	defer a.memory.Close()
-	stop := context.AfterFunc(receiving, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(receiving, a.interrupt)
 	reusable, refusal := r.sendAndReceive(ctx, a)
+	a.end()
 	if !stop() || !reusable || conn.SetDeadline(time.Time{}) != nil {
-		_ = conn.Close()
+		a.closeConn(refusal)
 		return refusal
 	}
 	r.deps.Pool.Put(a.entry.Address, conn, a.closeBy)
 	return refusal
 }
 
+// closeConn closes the connection. If the endpoint may still work on the request, the
+// connection is reset, so that it learns of the end before the request goes on elsewhere.
+func (a *attempt) closeConn(refusal *refuser.Refusal) {
+	if refusal == nil || refusal.Ran == judge.NotRun {
+		_ = a.conn.Close()
+		return
+	}
+	a.conn.Reset()
+}
+
 // sendAndReceive sends the request and relays the answer. It reports whether
 // the connection can be reused.
 func (r *Relayer) sendAndReceive(ctx context.Context, a *attempt) (bool, *refuser.Refusal) {
@@ -145,6 +179,7 @@
 // send writes the request, large ones in a separate goroutine.
 func (r *Relayer) send(a *attempt) *refuser.Refusal {
 	a.sends++
+	a.addresses = append(a.addresses, a.entry.Address)
 	a.marks = r.deps.Detector.Marks(a.request, r.deps.Now())
 	buffer := make([]byte, 0, 1024+min(len(a.request.Body), concurrentWriteBytes))
 	buffer = r.deps.Translator.EncodeRequest(buffer, a.request, a.sendOptions(), a.sentAt)
@@ -267,7 +302,7 @@
 	}
 	if head.Status >= 500 && a.request.Repeatable() {
 		a.runs++
-		if r.reserveRetry(ctx, a.exchange, refuser.New(refuser.Rejected, judge.Ran, "")) {
+		if r.reserveRetry(ctx, a.exchange) {
 			a.runs--
 			return reusable, refuser.New(refuser.Rejected, judge.Ran, "endpoint %s answered %d", a.entry.Name, head.Status)
 		}
