Keep a request from going on elsewhere if its endpoint cannot be told

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges everything and has closed its window, because it reads no further for three seconds. The kernel tells the peer nothing then, and nothing can be sent on the connection any more. The read fails with ETIMEDOUT, or, if a write still waits and learns that first, with the end of the stream, which looks like a crash; both count as "may have run", and what may be repeated is sent elsewhere. Requests that are watched for silence are mostly given up before that; streams are not watched.

Ruled out: without TCP_USER_TIMEOUT a connection through a partition hangs for minutes, so it stays.

Change: if the kernel has dropped the connection and the endpoint accepts a new one, it is within reach and may still work: the request ends with a failure and goes nowhere else. If it accepts none, the request goes on as before.

--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -99,6 +100,9 @@
 	if ctx.Err() != nil {
 		return endedRefusal(ctx, judge.MayHaveRun)
 	}
+	if a.isDropped(err) && r.redial(a.entry.Address) == nil {
+		a.unended = true
+	}
 	now := r.deps.Now()
 	var timeout net.Error
 	if a.outdated.Load() {
@@ -127,6 +131,18 @@
 	return refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "endpoint %s: %s", a.entry.Name, err)
 }
 
+// isDropped reports whether the kernel has dropped the connection without telling the
+// endpoint. It tells only the read or write that comes first; err is that of the read.
+func (a *attempt) isDropped(err error) bool {
+	if errors.Is(err, syscall.ETIMEDOUT) || a.writeDone == nil {
+		return errors.Is(err, syscall.ETIMEDOUT)
+	}
+	_ = a.conn.SetWriteDeadline(time.Unix(1, 0)) // ends a write that still waits
+	writeErr := <-a.writeDone
+	a.writeDone <- writeErr
+	return errors.Is(writeErr, syscall.ETIMEDOUT)
+}
+
 // memoryRefusal returns the refusal for an answer that ended since its endpoint sent more
 // than there is memory for, or nil for one that ended otherwise. The endpoint may have run
 // the request, and its connection is no sign of a crash.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -20,6 +20,9 @@
 	addresses []string
 	// sends counts all sends, runs those after which the request may have run.
 	sends, runs int
+	// unended means that an endpoint may still work on the request and cannot learn that it
+	// was given up.
+	unended bool
 	// misdirected counts the sends that reached an endpoint known to be of another pool,
 	// which has the address now. The retry budget bounds the load on a pool, so these need
 	// none.
--- a/relayer/retry.go
+++ b/relayer/retry.go
@@ -60,9 +60,9 @@
 	return true
 }
 
-// mayRun reports whether the route allows that the request runs, once more if it may have run.
+// mayRun reports whether the request may be sent, once more if it may have run.
 func (e *exchange) mayRun() bool {
-	return e.runs == 0 || e.request.Repeatable() && e.runs < e.request.Route.Attempts
+	return e.runs == 0 || !e.unended && e.request.Repeatable() && e.runs < e.request.Route.Attempts
 }
 
 // isRetry reports whether the next send is a retry: an earlier one has reached the pool.
