Reset the connection of a call that was given up

Change: the dialer resets the connection of a call that failed, or whose answer was not read to its end. Connections to endpoints are plain TCP here (TLS only between instances), so the case of TLS is taken out of Conn.Reset, where nothing could have tested it.

--- a/dialer/http.go
+++ b/dialer/http.go
@@ -81,7 +81,7 @@
 	if err == nil {
 		return answer, nil
 	}
-	_ = conn.Close()
+	conn.Reset()
 	if conn.Reused {
 		// Other idle connections to the same endpoint may have failed as well.
 		d.pool.Drop(call.Address)
@@ -171,7 +171,7 @@
 		return nil, transportError(call, err)
 	}
 	evicted, evict := context.WithCancel(context.Background())
-	stop := context.AfterFunc(evicted, func() { _ = conn.Close() })
+	stop := context.AfterFunc(evicted, conn.Reset)
 	memory := d.received.Open(evicted, call.FirstByteDeadline, evict)
 	release := func() bool {
 		defer evict()
@@ -228,11 +228,14 @@
 	reusable := !head.Close && head.Length != framer.UntilClose
 	answer.Finish = func(complete bool) {
 		// What is left of a body that was not read to its end would precede the next answer.
-		if !release() || !reusable || !complete || !ended {
+		switch isOpen := release(); {
+		case !ended:
+			conn.Reset()
+		case !isOpen || !reusable || !complete:
 			_ = conn.Close()
-			return
+		default:
+			d.pool.Put(call.Address, conn, time.Time{})
 		}
-		d.pool.Put(call.Address, conn, time.Time{})
 	}
 	return answer
 }
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -26,14 +26,10 @@
 // Reset closes the connection at once, also if the endpoint does not read: an ordinary close
 // waits behind the bytes that were written before.
 func (c *Conn) Reset() {
-	raw := c.Conn
-	if wrapped, ok := raw.(interface{ NetConn() net.Conn }); ok {
-		raw = wrapped.NetConn() // TLS would first write that it ends
-	}
-	if tcp, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = raw.Close()
+	_ = c.Close()
 }
 
 // Pool keeps idle connections by address. The most recently used one is reused
