Count each way to the verdict "not run", and each reset by its cause

Change: unrun.unwritten, .refused, .anonymous and .misdirected, reset.CODE by the refusal code (silent, wrong-weights, answer-lost, answer-crossed, timeout, upstream-lost, caller-gone), and reset.impossible. The page lists them (TestPageListsEveryCounter); their values have no test.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -131,7 +131,7 @@
 	reusable, refusal := r.sendAndReceive(ctx, a)
 	a.end()
 	if !stop() || !reusable || conn.SetDeadline(time.Time{}) != nil {
-		a.closeConn(refusal)
+		r.closeConn(a, refusal)
 		return refusal
 	}
 	r.deps.Pool.Put(a.entry.Address, conn, a.closeBy)
@@ -140,12 +140,13 @@
 
 // closeConn closes the connection. If the endpoint may still work on the request, the
 // connection is reset, so that it learns of the end before the request goes on elsewhere.
-func (a *attempt) closeConn(refusal *refuser.Refusal) {
+func (r *Relayer) closeConn(a *attempt, refusal *refuser.Refusal) {
 	if refusal == nil || refusal.Ran == judge.NotRun {
 		_ = a.conn.Close()
 		return
 	}
 	a.conn.Reset()
+	r.deps.Count.Add("reset", string(refusal.Code))
 }
 
 // sendAndReceive sends the request and relays the answer. It reports whether
@@ -194,6 +195,7 @@
 	}
 	n, err := a.conn.Write(append(buffer, a.request.Body...))
 	if err != nil && n == 0 {
+		r.deps.Count.Add("unrun", "unwritten")
 		a.endpoint.RecordFailure(r.deps.Now())
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "write to endpoint %s: %s", a.entry.Name, err)
 	}
@@ -269,6 +271,7 @@
 	if head.Length != framer.UntilClose { // otherwise the connection is closed in any case
 		err = head.DiscardBody(a.conn.Reader, maxStrayBytes)
 	}
+	r.countNotRun(response)
 	taken := response.WrongTarget && response.Endpoint != "" && response.Endpoint != a.entry.Name
 	if !response.WrongTarget || a.weights == a.endpoint.Weights(a.request.Model) {
 		a.endpoint.RecordFailure(r.deps.Now())
@@ -317,6 +320,18 @@
 	return reusable, r.deliveryRefusal(a)
 }
 
+// countNotRun counts how an endpoint stated that the request did not run.
+func (r *Relayer) countNotRun(response translator.Answer) {
+	switch {
+	case response.RequestID == "":
+		r.deps.Count.Add("unrun", "anonymous")
+	case response.WrongTarget:
+		r.deps.Count.Add("unrun", "misdirected")
+	default:
+		r.deps.Count.Add("unrun", "refused")
+	}
+}
+
 // deliveryRefusal returns a CallerGone refusal if the answer could not be
 // written to the caller completely, and nil otherwise.
 func (r *Relayer) deliveryRefusal(a *attempt) *refuser.Refusal {
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -102,6 +102,7 @@
 	}
 	if a.isDropped(err) && r.redial(a.entry.Address) == nil {
 		a.unended = true
+		r.deps.Count.Add("reset", "impossible")
 	}
 	now := r.deps.Now()
 	var timeout net.Error
