Cancel an attempt before its request goes on at another engine

On the project's own interface, engines keep an attempt when its connection is lost, so that it can be resumed, until they are asked to cancel it. The call was made in the background while the request went on at another engine 20 ms later, so both worked on it until the call arrived.

Change: the streamer waits for the answer to that call, 300 ms at most, before it switches.

Evidence: TestCancelledBeforeTheSwitch, with an engine that takes 100 ms to cancel. The real engines of users speak the platform's interface, which has no such call.

--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -110,7 +111,10 @@
 		}
 	}
 	a.picker.RecordFailure(a.track)
-	a.cancel()
+	select {
+	case <-a.cancel(): // it must not run at two engines
+	case <-time.After(cancelTimeout):
+	}
 	return switchEndpoint, lastErr
 }
 
@@ -293,11 +297,20 @@
 	}
 }
 
-func (a *attempt) cancel() {
-	if a.mayHaveRun {
-		a.count.Add("stream", "cancelled")
-		go func() { _ = a.dialer.Cancel(a.track.Endpoint.Address, a.id) }()
+// cancel asks the engine to end the attempt, if it may have begun. The returned channel is
+// closed when the engine has answered or the call has failed.
+func (a *attempt) cancel() <-chan struct{} {
+	done := make(chan struct{})
+	if !a.mayHaveRun {
+		close(done)
+		return done
 	}
+	a.count.Add("stream", "cancelled")
+	go func() {
+		defer close(done)
+		_ = a.dialer.Cancel(a.track.Endpoint.Address, a.id)
+	}()
+	return done
 }
 
 // discardRest reads the rest of a complete stream, so that its connection can be
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -27,6 +27,8 @@
 	switchDelay             = 20 * time.Millisecond
 	maxRounds               = 2 // additional rounds over all endpoints
 	roundDelay              = 50 * time.Millisecond
+	// cancelTimeout limits the wait for an engine to end an attempt that goes on at another.
+	cancelTimeout = 300 * time.Millisecond
 )
 
 // Streamer runs model requests.
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -124,8 +125,51 @@
 	}
 }
 
+// cutting is two engines. The first one sends an event on the first connection and nothing on
+// the others; it takes a while to cancel the attempt.
+type cutting struct {
+	dialer.Dialer
+	first     string
+	calls     int
+	cancelled atomic.Bool
+	early     bool
+}
+
+func (c *cutting) Send(call caller.Call) (*answerer.Answer, error) {
+	c.calls++
+	answer := &answerer.Answer{Status: 200, Attempt: call.Attempt, Incarnation: "i", Weights: "v1", CachedBytes: -1, QueueBytes: -1, Length: answerer.UntilClose, Body: strings.NewReader("")}
+	if c.calls == 1 {
+		c.first, answer.Body = call.Address, strings.NewReader(events[0])
+	}
+	if call.Address != c.first {
+		c.early = !c.cancelled.Load()
+		answer.Body = strings.NewReader(strings.Join(events, ""))
+	}
+	return answer, nil
+}
+
+func (c *cutting) Cancel(string, string) error {
+	time.Sleep(100 * time.Millisecond)
+	c.cancelled.Store(true)
+	return nil
+}
+
+// Guards against a request that goes on at another engine before the first one has ended it.
+func TestCancelledBeforeTheSwitch(t *testing.T) {
+	c := &cutting{}
+	streams, request := newStreamerOf(t, c, strings.Replace(config, `"address": "127.0.0.1:1"}`, `"address": "127.0.0.1:1"}, {"name": "f", "pool": "hall", "data_centre": "a", "address": "127.0.0.1:2"}`, 1))
+	assert.NilError(t, streams.Run(t.Context(), request, &collector{}))
+	assert.Assert(t, c.cancelled.Load() && !c.early)
+}
+
 // newStreamer returns a streamer with one engine, and a request for it.
 func newStreamer(t *testing.T, dial dialer.Dialer) (*streamer.Streamer, *resolver.Request) {
+	t.Helper()
+	return newStreamerOf(t, dial, config)
+}
+
+// newStreamerOf returns a streamer with the engines of a configuration, and a request.
+func newStreamerOf(t *testing.T, dial dialer.Dialer, config string) (*streamer.Streamer, *resolver.Request) {
 	t.Helper()
 	board, count, now := keeper.New(), counter.New(metrics.NewRegistry()), time.Now()
 	parsed, err := cataloguer.New([]byte(config))
