Divide the extra retries among all instances, not the live ones

Cause: each instance divided the extra retries by the number of instances that messages arrive from. An instance that had not discovered the others took all of them, data centres that lost each other took all of them each, and an instance that started again spent what its earlier process had spent in the same window.

Ruled out: the retries that the ratio allows. They come from the requests of the same instance, so their sum is right by itself; they are not divided.

Change: the divisor is the number of members, which counts an instance for an hour after its last message, also one that said that it stops (enroller). A hub announces to other hubs how many members of its data centre it knows, to its reporters how many in all: a hub learns by messages only of the instances of its own data centre. While nothing was discovered, there are no extra retries. The share begins a window and contactMs after the others were reached, contactMs where the whole system starts for the first time, and is smaller while only some were reached (divider). Forecasts still use the number of live instances.

An instance that stopped is not taken out of the count earlier: it may start again while it is cut off, and would then have a share that the others use. For an hour after some are removed for good, the shares of the others are smaller.

Log line and gauges: "extra retries divided", budget.members, budget.share-permille.

What remains: two instances that are added during one partition, on the same side, count each other as reached.

--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -79,7 +79,7 @@
 	sendNow := func() time.Time { return sentAt }
 	request, err := resolver.New(resolver.Input{ID: "r", Method: "POST", Path: "/book", Authorization: "Bearer key-0", IdempotencyKey: "k", Body: []byte("slot"), ReceivedAt: now}, board.Index.Load())
 	assert.NilError(t, err)
-	return attempter.New(dial, endpoints, claims, budgeter.New(budgeter.Default(), sendNow), count, sendNow), request
+	return attempter.New(dial, endpoints, claims, budgeter.New(budgeter.Default(), 1, sendNow), count, sendNow), request
 }
 
 // A request that is quarantined after its first attempt is refused at once, not
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -27,13 +27,14 @@
 
 // Budget is the retry budget of one instance.
 type Budget struct {
-	rule          Rule
-	now           func() time.Time
-	start         time.Time
-	mu            sync.Mutex
-	instanceShare float64
-	slots         [windowSteps]slot
-	lastStep      int64
+	rule  Rule
+	now   func() time.Time
+	start time.Time
+	mu    sync.Mutex
+	// share is the part of ExtraRetries that this instance may use.
+	share    float64
+	slots    [windowSteps]slot
+	lastStep int64
 	// reserved is the number of retries that were allowed and not sent yet.
 	reserved float64
 }
@@ -44,16 +45,17 @@
 	requests, retries float64
 }
 
-// New returns a budget with the given rule for a single instance.
-func New(rule Rule, now func() time.Time) *Budget {
-	return &Budget{rule: rule, now: now, start: now(), instanceShare: 1}
+// New returns a budget with the given rule for an instance that may use the given share of
+// ExtraRetries.
+func New(rule Rule, share float64, now func() time.Time) *Budget {
+	return &Budget{rule: rule, share: share, now: now, start: now()}
 }
 
-// SetInstances divides ExtraRetries among the given number of instances.
-func (b *Budget) SetInstances(instances int) {
+// SetShare sets the share of ExtraRetries that this instance may use.
+func (b *Budget) SetShare(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.instanceShare = 1 / float64(max(instances, 1))
+	b.share = share
 }
 
 // RecordRequest counts a request, which adds Ratio to the budget.
@@ -118,7 +120,7 @@
 	for age := range int64(windowSteps) {
 		retries += b.slotAt(current.step - age).retries
 		requests += b.slotAt(current.step - age - 1).requests
-		if retries > b.rule.Ratio*requests+b.rule.ExtraRetries*b.instanceShare {
+		if retries > b.rule.Ratio*requests+b.rule.ExtraRetries*b.share {
 			return false
 		}
 	}
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -20,8 +20,7 @@
 		instances := rapid.IntRange(1, 4).Draw(t, "instances")
 		var budgets []*budgeter.Budget
 		for range instances {
-			budget := budgeter.New(rule, func() time.Time { return now })
-			budget.SetInstances(instances)
+			budget := budgeter.New(rule, 1/float64(instances), func() time.Time { return now })
 			budgets = append(budgets, budget)
 		}
 		reserved := make([]int, instances)
@@ -68,7 +67,7 @@
 // A retry must count against the budget until the window has passed.
 func TestRetryCountsForWholeWindow(t *testing.T) {
 	now := time.Now()
-	budget := budgeter.New(budgeter.Rule{ExtraRetries: 2, WindowMillis: 10000}, func() time.Time { return now })
+	budget := budgeter.New(budgeter.Rule{ExtraRetries: 2, WindowMillis: 10000}, 1, func() time.Time { return now })
 	assert.Assert(t, budget.TryRetry())
 	assert.Assert(t, budget.TryRetry())
 	assert.Assert(t, !budget.TryRetry())
@@ -82,7 +81,7 @@
 func TestOldRequestsAllowNoBurst(t *testing.T) {
 	now := time.Now()
 	rule := budgeter.Rule{Ratio: 0.2, ExtraRetries: 12, WindowMillis: 10000}
-	budget := budgeter.New(rule, func() time.Time { return now })
+	budget := budgeter.New(rule, 1, func() time.Time { return now })
 	for range 100 {
 		budget.RecordRequest()
 	}
@@ -99,7 +98,7 @@
 // A clock that jumps back must not bring back the retries that were taken.
 func TestClockJumpsBack(t *testing.T) {
 	now := time.Unix(1000, 0)
-	budget := budgeter.New(budgeter.Rule{ExtraRetries: 1, WindowMillis: 10000}, func() time.Time { return now })
+	budget := budgeter.New(budgeter.Rule{ExtraRetries: 1, WindowMillis: 10000}, 1, func() time.Time { return now })
 	now = now.Add(time.Minute)
 	assert.Assert(t, budget.TryRetry())
 	now = now.Add(-time.Hour)
@@ -111,7 +110,7 @@
 // Guards against retries that are reserved in several windows and sent in one.
 func TestReservedRetriesFillTheBudget(t *testing.T) {
 	now := time.Now()
-	budget := budgeter.New(budgeter.Rule{ExtraRetries: 2, WindowMillis: 10000}, func() time.Time { return now })
+	budget := budgeter.New(budgeter.Rule{ExtraRetries: 2, WindowMillis: 10000}, 1, func() time.Time { return now })
 	assert.Assert(t, budget.Reserve() && budget.Reserve())
 	now = now.Add(11 * time.Second)
 	assert.Assert(t, !budget.Reserve() && !budget.TryRetry())
@@ -125,7 +124,7 @@
 // Guards against a retry that is sent long after the requests that allowed it.
 func TestReservationEndsWithItsRequests(t *testing.T) {
 	now := time.Now()
-	budget := budgeter.New(budgeter.Rule{Ratio: 1, WindowMillis: 10000}, func() time.Time { return now })
+	budget := budgeter.New(budgeter.Rule{Ratio: 1, WindowMillis: 10000}, 1, func() time.Time { return now })
 	budget.RecordRequest()
 	assert.Assert(t, budget.Reserve())
 	now = now.Add(12 * time.Second)
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -37,6 +37,11 @@
 	histogram.(metrics.Histogram).Update(sample)
 }
 
+// Set sets the gauge name.
+func (c *Counter) Set(name string, value int) {
+	metrics.GetOrRegisterGauge(name, c.registry).Update(int64(value))
+}
+
 // Registry returns the registry that contains the metrics.
 func (c *Counter) Registry() metrics.Registry { return c.registry }
 
--- a/counter/page_test.go
+++ b/counter/page_test.go
@@ -15,6 +15,7 @@
 var (
 	added    = regexp.MustCompile(`\.(?:Add|AddMany)\("([a-z]+)", "([a-z-]+[a-z])"`)
 	observed = regexp.MustCompile(`\.Observe\("([a-z.-]+)"`)
+	set      = regexp.MustCompile(`\.Set\("([a-z]+\.[a-z-]+)"`)
 	reasons  = regexp.MustCompile(`[Rr]eason: "([a-z]+)"`)
 	listed   = regexp.MustCompile("(?m)^\\| `([a-z.-]+)`")
 )
@@ -54,6 +55,9 @@
 		for _, match := range added.FindAllStringSubmatch(string(source), -1) {
 			names[match[1]+"."+match[2]] = true
 		}
+		for _, match := range set.FindAllStringSubmatch(string(source), -1) {
+			names[match[1]] = true
+		}
 		for _, match := range observed.FindAllStringSubmatch(string(source), -1) {
 			names[match[1]] = true
 		}
--- a/instance.go
+++ b/instance.go
@@ -129,7 +129,7 @@
 	advise := delegator.New(member, i.board, i.gossip, settings.HomeThreshold, count)
 	i.decide = decider.New(i.board, policy, ask, cacheMap, now)
 	pick := picker.New(i.board, policy, balancer.New(), ask, advise, cacheMap, quarantine, count, now, i.gossip.Broadcast)
-	budget := budgeter.New(budgeter.Default(), now)
+	budget := budgeter.New(budgeter.Default(), 1, now)
 	streams := streamer.New(i.board, endpointDialer, pick, budget, count, now)
 	services := attempter.New(endpointDialer, pick, i.claims, budget, count, now)
 	i.server = server.New(i.board, i.limits, streams, services, count, now, settings.MaxBodyBytes, settings.MaxHeaderBytes)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -70,6 +70,8 @@
 	// watchStarted receives a value when an attempt is added to watched.
 	watchStarted chan struct{}
 	instances    int
+	// retryShare is the share of the extra retries that this instance may use.
+	retryShare float64
 	// terms are those of a planned stop, nil before it.
 	terms atomic.Pointer[drainer.Drainer]
 	// aborted ends when the requests in progress are to end, which abort causes.
@@ -147,13 +149,22 @@
 	}
 }
 
-// SetInstances divides the retry budgets among the given number of instances.
+// SetInstances sets the number of live instances, which share what endpoints with a limit
+// take.
 func (r *Relayer) SetInstances(instances int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.instances = instances
+}
+
+// SetRetryShare sets the share of the extra retries that this instance may use. Until then
+// it may use none.
+func (r *Relayer) SetRetryShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryShare = share
 	for _, budget := range r.budgets {
-		budget.SetInstances(instances)
+		budget.SetShare(share)
 	}
 }
 
@@ -163,8 +174,7 @@
 	defer r.mu.Unlock()
 	budget := r.budgets[pool]
 	if budget == nil {
-		budget = budgeter.New(r.deps.RetryRule, r.deps.Now)
-		budget.SetInstances(r.instances)
+		budget = budgeter.New(r.deps.RetryRule, r.retryShare, r.deps.Now)
 		r.budgets[pool] = budget
 	}
 	return budget
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	"wisteriadrum/budgeter"
 	"wisteriadrum/counter"
 	"wisteriadrum/detector"
+	"wisteriadrum/divider"
 	"wisteriadrum/exposer"
 	"wisteriadrum/feeder"
 	"wisteriadrum/granter"
@@ -30,7 +31,6 @@
 	"wisteriadrum/leaser"
 	"wisteriadrum/monitor"
 	"wisteriadrum/muter"
-	"wisteriadrum/pacer"
 	"wisteriadrum/permitter"
 	"wisteriadrum/pooler"
 	"wisteriadrum/quarantiner"
@@ -50,8 +50,6 @@
 	// Connections that are accepted later may be cut at the end of the grace
 	// period.
 	balancerWait = 2500 * time.Millisecond
-	// budgetInterval is the interval at which retry budgets are divided anew.
-	budgetInterval = time.Second
 	// discoveryInterval is the interval between reads of the instances' rows.
 	discoveryInterval = 15 * time.Second
 	// maxDiscoveryDelay spreads the first reads of instances that start
@@ -81,6 +79,11 @@
 	CallerAddress, ReadyAddress, PeerAddress, MetricsAddress string
 	// Retries limits the retries of all instances for each pool.
 	Retries budgeter.Rule
+	// FirstStart means that the system starts for the first time, so that no earlier
+	// process of the instance has sent retries.
+	FirstStart bool
+	// ContactMillis is how long instances may take after their start to know each other.
+	ContactMillis int
 	// Lease holds the terms of the lease that allows an instance to send
 	// orders.
 	Lease leaser.Terms
@@ -155,6 +158,7 @@
 	archiver   *archiver.Archiver
 	feeders    []*feeder.Feeder
 	packetConn net.PacketConn
+	divider    *divider.Divider
 	stopping   atomic.Bool
 }
 
@@ -166,6 +170,7 @@
 		return nil, eris.Wrap(err, "listen for peers")
 	}
 	r.packetConn = packets
+	r.divider = divider.New(retryDelay(options))
 	quarantine, detect := quarantiner.New(), detector.New()
 	for _, table := range deps.Tables {
 		r.feeders = append(r.feeders, feeder.New(deps.Source, table.Name, table.BoundMillis, table.Apply, count, log))
@@ -291,11 +296,3 @@
 		}
 	}
 }
-
-// divideBudgets periodically divides the retry budgets among the live
-// instances.
-func (r *Runner) divideBudgets(ctx context.Context) {
-	for pacer.Wait(ctx, budgetInterval) {
-		r.relayer.SetInstances(r.sharer.LiveCount())
-	}
-}
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 
 	"wisteriadrum/counter"
 	"wisteriadrum/detector"
+	"wisteriadrum/divider"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
@@ -36,6 +38,8 @@
 	// many wait for it; more are lost. Zero values mean no limit.
 	receiveTime time.Duration
 	maxQueued   int
+	// cutOff holds the addresses that exchange datagrams only with each other.
+	cutOff map[string]bool
 }
 
 // memoryConn is a connection to a packetNetwork.
@@ -61,6 +65,9 @@
 	c.network.packets++
 	c.network.bytes += len(data)
 	target := c.network.conns[to.String()]
+	if c.network.cutOff[c.address.String()] != c.network.cutOff[to.String()] {
+		return len(data), nil
+	}
 	if target != nil && (c.network.maxQueued == 0 || len(target.queue) < c.network.maxQueued) {
 		target.queue <- append([]byte(nil), data...)
 	}
@@ -85,6 +92,7 @@
 	sharers   []*sharer.Sharer
 	all       []sharer.Peer
 	logs      map[string]*hubLog
+	dividers  []*divider.Divider
 	ctx       context.Context
 	stop      context.CancelFunc
 
@@ -158,6 +166,26 @@
 	f.sharers[n].AddPeers(known)
 }
 
+// cut separates the instances for which apart returns true from the others.
+func (f *fleet) cut(apart func(n int) bool) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.network.cutOff = map[string]bool{}
+	for n, peer := range f.all {
+		f.network.cutOff[peer.Address] = apart(n)
+	}
+}
+
+// shares returns the sum of the shares that the instances take of an allowance of the whole
+// fleet.
+func (f *fleet) shares() float64 {
+	sum := 0.0
+	for n := range f.dividers {
+		sum += f.dividers[n].Share(f.sharers[n].Members(), f.sharers[n].LiveCount(), time.Now())
+	}
+	return sum
+}
+
 // hubs returns the number of hubs by data centre.
 func (f *fleet) hubs() map[string]int {
 	hubs := map[string]int{}
@@ -349,3 +377,48 @@
 		assert.Assert(t, later <= 2*atRest, "%d datagrams, %d before", later, atRest)
 	})
 }
+
+// Guards against shares of a fleet-wide allowance that add up to more than the whole while
+// instances discover each other, are cut off or are gone.
+func TestSharesAddUpToOne(t *testing.T) {
+	for _, size := range []int{7, 30} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkShares(t, size) })
+		})
+	}
+}
+
+// checkShares checks the shares of a fleet that starts, is cut apart, grows and shrinks.
+func checkShares(t *testing.T, size int) {
+	f := newStoppedFleet(size + 1)
+	defer f.end()
+	check := func(what string, least float64, duration time.Duration) {
+		for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			sum := f.shares()
+			assert.Assert(t, sum <= 1+1e-9, "%s: the shares add up to %.3f", what, sum)
+		}
+		assert.Assert(t, f.shares() >= least, "%s: the shares add up to %.3f", what, f.shares())
+	}
+	const contact, window = 3 * time.Second, 10 * time.Second
+	start := func(n int, delay time.Duration) {
+		f.dividers = append(f.dividers, divider.New(delay))
+		f.start(n)
+		time.AfterFunc(rand.N(time.Second), func() { f.discover(n) })
+	}
+	for n := range size {
+		start(n, contact)
+	}
+	check("start", 0.999, 10*time.Second)
+	f.cut(func(n int) bool { return n%fleetDataCentres < 2 })
+	check("cut", 0.8, 40*time.Second)
+	f.cut(func(int) bool { return false })
+	check("healed", 0.999, 10*time.Second)
+	f.cut(func(n int) bool { return n == 0 })
+	check("one cut off", 0.8, 10*time.Second)
+	f.cut(func(int) bool { return false })
+	check("healed again", 0.999, 10*time.Second)
+	start(size, contact+window)
+	check("one added", 0.999, 20*time.Second)
+	f.sharers[1].AnnounceLeaving(true)
+	check("one stopped", 0.999, 10*time.Second)
+}
--- a/sharer/message.go
+++ b/sharer/message.go
@@ -58,6 +58,9 @@
 	// Taken are the keys of endpoints whose address another endpoint has, Refusing those
 	// of endpoints at whose address nothing listens.
 	Taken, Refusing []uint64
+	// Local is the number of instances in the sender's data centre that it knows, Members
+	// that of all instances, 0 if unknown, whether or not they are live.
+	Local, Members int
 }
 
 // flags are properties of the sender and of the message.
@@ -179,7 +182,7 @@
 	if _, err := netip.ParseAddrPort(m.SenderAddress); err != nil {
 		return eris.Wrap(err, "parse sender address of message")
 	}
-	if m.GroupSize < 0 || m.TotalSize < 0 {
+	if m.GroupSize < 0 || m.TotalSize < 0 || m.Local < 0 || m.Members < 0 {
 		return eris.New("message has a negative number of instances")
 	}
 	for _, at := range m.Complete {
--- a/sharer/peers.go
+++ b/sharer/peers.go
@@ -22,6 +22,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	for _, peer := range peers {
+		if peer.Name != s.self.Name {
+			s.enroller.List(peer.Name, peer.DataCentre, now)
+		}
 		if known := s.peers[peer.Name]; peer.Name != s.self.Name && (known == nil || known.Address != peer.Address && known.timedOut(now)) {
 			added := peer
 			s.peers[peer.Name] = &added
@@ -90,6 +93,21 @@
 	return total
 }
 
+// Members returns the number of instances that may be running, this one included, whether
+// or not they can be reached. It is 0 until the others were discovered.
+func (s *Sharer) Members() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members(s.now())
+}
+
+func (s *Sharer) members(now time.Time) int {
+	if !s.electFrom.IsZero() && s.enroller.Announced(now) == 0 {
+		return 0
+	}
+	return s.enroller.Total(now)
+}
+
 // sizes returns the number of instances of which this one sends the loads, itself
 // included, and the number of live instances in all data centres.
 func (s *Sharer) sizes(now time.Time) (group, total int) {
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -254,6 +254,10 @@
 		Name: msg.Name, DataCentre: msg.SenderDataCentre, Address: msg.SenderAddress, Rate: msg.Rate, flags: msg.Flags, hub: msg.Hub,
 		groupSize: msg.GroupSize, totalSize: msg.TotalSize, incarnation: msg.Incarnation, seq: msg.Seq, timeoutAt: now.Add(peerTimeout),
 	}
+	s.enroller.Hear(msg.Name, msg.SenderDataCentre, msg.Local, now)
+	if msg.Name == s.self.hub {
+		s.enroller.HearTotal(msg.Members, now)
+	}
 	if msg.Flags.has(flagLeader) {
 		s.leader = msg.Name
 	}
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -74,6 +74,7 @@
 	s.seq++
 	msg := s.message(s.endpointLoads(now).sumOf(s.group(now)...), events{})
 	msg.GroupSize, msg.TotalSize = s.sizes(now)
+	msg.Local, msg.Members = s.enroller.Local(now), s.members(now)
 	msg.Versions = s.currentVersions()
 	return msg
 }
@@ -149,6 +150,7 @@
 	}
 	now := s.now()
 	groupSize, totalSize := s.sizes(now)
+	local, members := s.enroller.Local(now), s.members(now)
 	endpointLoads := s.endpointLoads(now)
 	var list []datagram
 	queue := func(receiver string, loads []load, queued events, addresses ...string) {
@@ -159,7 +161,7 @@
 		}
 		if msg.isDue(scope) {
 			s.sentLoads.record(receiver, loads)
-			msg.Versions, msg.GroupSize, msg.TotalSize = versions, groupSize, totalSize
+			msg.Versions, msg.GroupSize, msg.TotalSize, msg.Local, msg.Members = versions, groupSize, totalSize, local, members
 			list = append(list, datagram{msg, addresses})
 		}
 	}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -18,6 +18,7 @@
 	"wisteriadrum/counter"
 	"wisteriadrum/detector"
 	"wisteriadrum/elector"
+	"wisteriadrum/enroller"
 	"wisteriadrum/monitor"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/registrar"
@@ -137,6 +138,8 @@
 	electFrom time.Time
 	seq       uint64
 	peers     map[string]*Peer
+	// enroller counts the instances, also those that timed out.
+	enroller *enroller.Enroller
 	// tableSource is the name of the instance that sends the tables to this
 	// one, "" if this one reads them from the store.
 	tableSource string
@@ -154,7 +157,7 @@
 	return &Sharer{
 		electFrom: now().Add(maxDiscoveryWait),
 		self:      self, lastUseMillis: lastUseMillis, conn: conn, registrar: state, quarantine: quarantine, detector: detect, tables: tables, count: count, log: log, now: now,
-		hubElector: elector.New(), peers: map[string]*Peer{}, sentLoads: sentLoads{},
+		hubElector: elector.New(), peers: map[string]*Peer{}, enroller: enroller.New(self.DataCentre), sentLoads: sentLoads{},
 	}
 }
 
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -198,7 +198,7 @@
 func TestOrderOfCandidates(t *testing.T) {
 	a := newInstance(t, "a", 1)
 	send := func(name string, incarnation, flags int) {
-		message := raw(t, name, "", "10.0.0.1:1", 10, incarnation, 1, 1, []uint64{}, []int64{}, flags, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{}, []uint64{}, []uint64{})
+		message := raw(t, name, "", "10.0.0.1:1", 10, incarnation, 1, 1, []uint64{}, []int64{}, flags, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{}, []uint64{}, []uint64{}, 1, 1)
 		_, err := a.conn.WriteTo(message, a.conn.LocalAddr())
 		assert.NilError(t, err)
 	}
@@ -225,7 +225,7 @@
 func TestMalformedNotes(t *testing.T) {
 	a := newInstance(t, "a", 1)
 	whole := func(name, address string, loads, parts, versions, suspects []any) []byte {
-		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{}, versions, suspects, []any{}, []uint64{}, []uint64{})
+		return raw(t, name, "", address, 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, loads, parts, []any{}, []uint64{}, []any{}, versions, suspects, []any{}, []uint64{}, []uint64{}, 1, 1)
 	}
 	withVersions := func(name, address string, loads, parts, versions []any) []byte {
 		return whole(name, address, loads, parts, versions, nil)
@@ -236,13 +236,17 @@
 	valid := func(name, address string, loads, parts []any) []byte {
 		return withVersions(name, address, loads, parts, nil)
 	}
+	withMembers := func(local, members int) []byte {
+		return raw(t, "x", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{}, []uint64{}, []uint64{}, local, members)
+	}
 	for _, data := range [][]byte{
+		withMembers(-1, 1), withMembers(1, -1),
 		nil, []byte("{"), raw(t, "x"), valid("", "10.0.0.1:1", nil, nil), valid("x", "y", nil, nil),
 		valid("x", "10.0.0.1:1", []any{[]any{1, -1, 0, 0}}, nil), valid("x", "10.0.0.1:1", []any{[]any{1, 1, 1 << 50, 0}}, nil),
 		valid("x", "10.0.0.1:1", nil, []any{[]any{1, 2, -3, false}}),
 		withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 0, 1}}), withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"", 1, 1}}),
 		withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 1, -1}}), withVersions("x", "10.0.0.1:1", nil, nil, []any{[]any{"m", 1, 1 << 40}}),
-		raw(t, "x", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{1}, []int64{-1}, 0, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{}, []uint64{}, []uint64{}),
+		raw(t, "x", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{1}, []int64{-1}, 0, "", 1, 1, []any{}, []any{}, []any{}, []uint64{}, []any{}, []any{}, []any{}, []any{}, []uint64{}, []uint64{}, 1, 1),
 		withSuspect(strings.Repeat("p", 100), 0, 1), withSuspect("p", -1, 1), withSuspect("p", 0, -1), withSuspect("p", 0, 1<<40), withSuspect("p", 1<<40, 1),
 	} {
 		_, err := a.conn.WriteTo(data, a.conn.LocalAddr())
@@ -255,7 +259,7 @@
 
 // FuzzNote guards against panics on malformed datagrams.
 func FuzzNote(f *testing.F) {
-	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}, []any{[]any{1, "p", 0, 1, false, time.Unix(1000, 0)}}, []any{[]any{1, true, 5000}}, []uint64{4}, []uint64{5}})
+	data, err := msgpack.Marshal([]any{"z", "", "10.0.0.1:1", 10, 1, 1, 1, []uint64{}, []int64{}, 0, "", 1, 1, []any{[]any{1, 2, 3, 4}}, []any{}, []any{}, []uint64{}, []any{}, []any{[]any{"m", 1, 5}}, []any{[]any{1, "p", 0, 1, false, time.Unix(1000, 0)}}, []any{[]any{1, true, 5000}}, []uint64{4}, []uint64{5}, 1, 1})
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Add(bytes.Replace(data, []byte{0x91, 0x94, 1, 2, 3, 4}, []byte{0xdd, 0xff, 0xff, 0xff, 0xff}, 1)) // 4 billion loads
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -140,5 +140,5 @@
 		Body: []byte(`{"model":"m","prompt":"p","max_tokens":2,"stream":true}`), ReceivedAt: now,
 	}, board.Index.Load())
 	assert.NilError(t, err)
-	return streamer.New(board, dial, engines, budgeter.New(budgeter.Default(), time.Now), count, time.Now), request
+	return streamer.New(board, dial, engines, budgeter.New(budgeter.Default(), 1, time.Now), count, time.Now), request
 }
