Hold retries within the requests of the windows that count

Cause: for each span that ends now, the budget took the requests of the span and of a whole step before it, a tenth of a window more than the users count. When each instance uses the whole of its budget, the sum is up to a tenth of the ratio above the rule. The property test allowed the same step, and one retry for each instance.

Ruled out: the division, which was right by then (the shares add up to one).

Change: the window moves in hundredths, and a step that a window holds in part counts for retries only.

--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -1,5 +1,6 @@
 // Package budgeter limits retries to a fraction of the requests in a sliding
-// window.
+// window. Each instance keeps the rule with its own requests, so that all of them together
+// keep it, too.
 package budgeter
 
 import (
@@ -7,12 +8,18 @@
 	"time"
 )
 
-// windowSteps is the number of steps in which the window slides.
-const windowSteps = 10
+const (
+	// windowSteps is the number of steps in which the window slides, halfSteps that of half
+	// a window, and storedSteps the number of those that are stored.
+	windowSteps = 100
+	halfSteps   = windowSteps / 2
+	storedSteps = windowSteps + halfSteps + 1
+)
 
 // Rule limits the retries of all instances together.
 type Rule struct {
-	// Ratio is the number of retries allowed for each request of a window.
+	// Ratio is the number of retries allowed for each request of a window, or of the
+	// window that begins half a window earlier if that has more requests.
 	Ratio float64
 	// ExtraRetries is the number of retries allowed per window in addition to
 	// those by Ratio.
@@ -33,7 +40,7 @@
 	mu    sync.Mutex
 	// share is the part of ExtraRetries that this instance may use.
 	share    float64
-	slots    [windowSteps]slot
+	slots    [storedSteps]slot
 	lastStep int64
 	// reserved is the number of retries that were allowed and not sent yet.
 	reserved float64
@@ -110,26 +117,50 @@
 	return true
 }
 
-// allows reports whether the budget allows another retry beside the reserved ones. The
-// rule must hold for each span of steps that ends now, with the requests of the span and of
-// the step before it: if only older requests allowed the retries, these would exceed the
-// rule in a window that begins later. The caller holds the lock.
+// allows reports whether the budget allows another retry beside the reserved ones. It checks
+// the windows that begin in each of the last steps, with the requests that are known by now.
+// The mean of two windows' requests is not more than the larger number, for one instance and
+// for the sum of all. The caller holds the lock.
 func (b *Budget) allows() bool {
-	current := b.currentSlot()
-	requests, retries := current.requests, 1+b.reserved
-	for age := range int64(windowSteps) {
-		retries += b.slotAt(current.step - age).retries
-		requests += b.slotAt(current.step - age - 1).requests
-		if retries > b.rule.Ratio*requests+b.rule.ExtraRetries*b.share {
+	current := b.currentSlot().step
+	sums := b.requestSums(current)
+	retries := 1 + b.reserved
+	for age := range windowSteps + 1 {
+		retries += b.slotAt(current - int64(age)).retries
+		// The steps in which the windows begin and end count only in part.
+		requests := sums.within(0, age-1) + sums.within(age-halfSteps+1, age+halfSteps-1)
+		if retries > b.rule.Ratio*requests/2+b.rule.ExtraRetries*b.share {
 			return false
 		}
 	}
 	return true
 }
 
+// ageSums holds at each index the number of the requests of as many steps, the last ones.
+type ageSums [storedSteps + 1]float64
+
+// requestSums returns the sums of the requests until the step current. The caller holds the
+// lock.
+func (b *Budget) requestSums(current int64) *ageSums {
+	var sums ageSums
+	for age := range storedSteps {
+		sums[age+1] = sums[age] + b.slotAt(current-int64(age)).requests
+	}
+	return &sums
+}
+
+// within returns the number of the requests of the steps with the ages from youngest to
+// oldest. Steps to come have none.
+func (s *ageSums) within(youngest, oldest int) float64 {
+	if oldest < 0 {
+		return 0
+	}
+	return s[min(oldest+1, storedSteps)] - s[max(youngest, 0)]
+}
+
 // slotAt returns the counts of a step, which are zero if they are not stored.
 func (b *Budget) slotAt(step int64) slot {
-	stored := b.slots[(step+windowSteps)%windowSteps]
+	stored := b.slots[(step+storedSteps)%storedSteps]
 	if stored.step != step {
 		return slot{}
 	}
@@ -138,11 +169,11 @@
 
 // currentSlot returns the slot of the current step, reset if it is from an earlier window.
 func (b *Budget) currentSlot() *slot {
-	stepMillis := int64(b.rule.WindowMillis) / windowSteps
-	step := b.now().Sub(b.start).Milliseconds()/stepMillis + 1
+	length := time.Duration(b.rule.WindowMillis) * time.Millisecond / windowSteps
+	step := int64(b.now().Sub(b.start)/length) + 1
 	step = max(step, b.lastStep) // a clock that jumps back must not bring back retries
 	b.lastStep = step
-	current := &b.slots[step%windowSteps]
+	current := &b.slots[step%storedSteps]
 	if current.step != step {
 		*current = slot{step: step}
 	}
