Read the era of the store

The store can come back from a copy that lacks its last writes. It then gives out versions again, for other content, and all its answers carry the header Store-Era, which rises by one each time. Nothing read it.

fetcher.Call returns an Answer with the header fields.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -52,23 +52,33 @@
 func (f *Fetcher) Do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	status, answer, err := f.Call(callCtx, method, path, body)
+	answer, err := f.Call(callCtx, method, path, body)
 	if err != nil {
 		return nil, err
 	}
-	switch status {
+	switch answer.Status {
 	case fasthttp.StatusOK:
-		return answer, nil
+		return answer.Body, nil
 	case fasthttp.StatusNotFound:
 		return nil, eris.Wrapf(ErrNotFound, "%s %s", method, path)
 	default:
-		return nil, refuser.New(refuser.PlatformFailed, judge.MayHaveRun, "platform answered %d to %s %s", status, method, path)
+		return nil, refuser.New(refuser.PlatformFailed, judge.MayHaveRun, "platform answered %d to %s %s", answer.Status, method, path)
 	}
 }
 
-// Call sends one request and returns the status and body of its answer. It fails
-// at the deadline of ctx, which must have one.
-func (f *Fetcher) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+// Answer is the answer to a call.
+type Answer struct {
+	Status int
+	Body   []byte
+	header fasthttp.ResponseHeader
+}
+
+// Get returns the value of a header field, empty if the answer does not have it.
+func (a *Answer) Get(name string) string { return string(a.header.Peek(name)) }
+
+// Call sends one request and returns its answer. It fails at the deadline of ctx, which
+// must have one.
+func (f *Fetcher) Call(ctx context.Context, method, path string, body []byte) (*Answer, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -80,13 +90,15 @@
 	}
 	deadline, _ := ctx.Deadline()
 	if err := f.client.DoDeadline(request, response, deadline); err != nil {
-		return 0, nil, f.callError(err)
+		return nil, f.callError(err)
 	}
-	answer, err := ReadBody(ctx, response, maxBodyBytes, f.received)
+	received, err := ReadBody(ctx, response, maxBodyBytes, f.received)
 	if err != nil {
-		return 0, nil, f.callError(err)
+		return nil, f.callError(err)
 	}
-	return response.StatusCode(), answer, nil
+	answer := &Answer{Status: response.StatusCode(), Body: received}
+	response.Header.CopyTo(&answer.header)
+	return answer, nil
 }
 
 // ReadBody reads the body of a streamed response, at most limit bytes, and closes it.
--- a/tabler/table.go
+++ b/tabler/table.go
@@ -13,6 +13,10 @@
 	Value   []byte    `json:"value,omitempty"`
 	Version uint64    `json:"version"`
 	Expires time.Time `json:"expires,omitzero"`
+	// Era is the era of the table service as of which the row was read, also of one
+	// that does not exist, 0 if unknown. It rises when the service lost writes;
+	// versions of different eras are not comparable.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Write replaces the row Key if its version is still Version. The row expires at
