Read a table whole in the check that learns that its history is gone

An instance whose watch is lost, or that waits for the instance that sends it the tables, asks the store for the changes in time. If the store answered that it has them no more, as after it came back from an older copy, the instance only noted that the next watch has to read the whole table. While it waited for its source no watch was made, so it served an older configuration for as long as the source sent nothing. If another call of the same check was lost, the answer was passed over until that call timed out.

The check now reads the whole table itself, within the call that got the answer. Ruled out: the source, which finds out by its own check, but which may be the one that is lost.

--- a/feeder/confirm.go
+++ b/feeder/confirm.go
@@ -97,13 +97,19 @@
 	return false
 }
 
-// check requests the changes that are not known yet.
+// check requests the changes that are not known yet, or the whole table if the store has
+// discarded them: another instance that sends the table may not know them either.
 func (f *Feeder) check(ctx context.Context) (Page, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	call := func(ctx context.Context) (Page, error) {
 		f.count.Add("store", "checks")
-		return f.store.Changes(ctx, f.table, f.Version())
+		page, err := f.store.Changes(ctx, f.table, f.Version())
+		if errors.Is(err, ErrHistoryGone) {
+			f.logHistoryGone()
+			return f.readWhole(ctx)
+		}
+		return page, err
 	}
 	return repeater.New(call, f.repeatMillis).Run(callCtx)
 }
@@ -113,9 +119,13 @@
 func (f *Feeder) applyCheck(page Page, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	page.Rows = slices.DeleteFunc(page.Rows, func(row Row) bool { return row.Version > 0 && row.Version <= f.newest })
+	if !page.Whole {
+		page.Rows = slices.DeleteFunc(page.Rows, func(row Row) bool { return row.Version > 0 && row.Version <= f.newest })
+	}
 	if page.Version > f.newest {
-		if len(page.Rows) > 0 {
+		if page.Whole {
+			f.dropWatch()
+		} else if len(page.Rows) > 0 {
 			f.count.Add("store", "missed")
 			f.log.Info("changes had not arrived", zap.String("table", f.table), zap.Uint64("version", page.Version))
 			f.dropWatch()
@@ -136,15 +146,7 @@
 
 // recordFailedCheck records that the table was not confirmed.
 func (f *Feeder) recordFailedCheck(ctx context.Context, err error) {
-	if errors.Is(err, ErrHistoryGone) {
-		f.log.Info("store has discarded the requested changes; reading the whole table", zap.String("table", f.table))
-		f.restart()
-		f.mu.Lock()
-		f.dropWatch()
-		f.mu.Unlock()
-	} else {
-		f.fail(ctx, err)
-	}
+	f.fail(ctx, err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.setConfirm(f.confirm.WithFailure(time.Now()))
--- a/feeder/confirm_test.go
+++ b/feeder/confirm_test.go
@@ -25,6 +25,10 @@
 	err     error
 	silent  bool
 	checks  int
+	// horizon is the version before which the changes are discarded.
+	horizon uint64
+	// lost is the number of checks that are not answered from now on.
+	lost int
 }
 
 func (s *deafStore) Read(ctx context.Context, _ string) (feeder.Page, error) { return s.answer(ctx, 0) }
@@ -37,7 +41,16 @@
 func (s *deafStore) Changes(ctx context.Context, _ string, after uint64) (feeder.Page, error) {
 	s.mu.Lock()
 	s.checks++
+	gone, lost := after < s.horizon, s.lost > 0
+	s.lost--
 	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return feeder.Page{}, ctx.Err()
+	}
+	if gone {
+		return feeder.Page{}, feeder.ErrHistoryGone
+	}
 	return s.answer(ctx, after)
 }
 
@@ -194,3 +207,32 @@
 		assert.Assert(t, d.known("b", at) <= boundMillis*3/4*time.Millisecond, "known after %s", d.known("b", at))
 	})
 }
+
+// Guards against a table that stays outdated while another instance is waited for, after the
+// store has discarded the changes since.
+func TestDiscardedWhileASourceIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeafFeeder(t, boundMillis)
+		d.PausePolling(time.Now().Add(time.Hour))
+		d.store.set(func(s *deafStore) { s.content.Version, s.horizon = 1000, 1000 })
+		at := d.put("b")
+		time.Sleep(5 * time.Second)
+		delay := d.known("b", at)
+		assert.Assert(t, delay > 0 && delay <= boundMillis*3/4*time.Millisecond, "known after %s", delay)
+		_, completeAt := d.Known()
+		assert.Assert(t, time.Since(completeAt) <= boundMillis*3/4*time.Millisecond)
+	})
+}
+
+// Guards against a table that is read whole only after the timeout of a call whose answer
+// was lost, although another one has said that the changes since are discarded.
+func TestDiscardedAfterALostCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeafFeeder(t, boundMillis)
+		d.store.set(func(s *deafStore) { s.content.Version, s.horizon, s.lost = 1000, 1000, 1 })
+		at := d.put("b")
+		time.Sleep(5 * time.Second)
+		delay := d.known("b", at)
+		assert.Assert(t, delay > 0 && delay <= boundMillis*time.Millisecond, "known after %s", delay)
+	})
+}
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -171,7 +171,7 @@
 			pause = minRetryPause
 			pacer.Wait(ctx, batchPause)
 		case errors.Is(err, ErrHistoryGone):
-			f.log.Info("store has discarded the requested changes; reading the whole table", zap.String("table", f.table))
+			f.logHistoryGone()
 			f.restart()
 		default:
 			f.fail(ctx, err)
--- a/feeder/poll.go
+++ b/feeder/poll.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wisteriadrum/repeater"
 )
 
@@ -58,10 +60,8 @@
 func (f *Feeder) read(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	f.count.Add("store", "reads")
 	begun := time.Now()
-	call := func(ctx context.Context) (Page, error) { return f.store.Read(ctx, f.table) }
-	page, err := repeater.New(call, f.repeatMillis).Run(callCtx)
+	page, err := repeater.New(f.readWhole, f.repeatMillis).Run(callCtx)
 	if err != nil {
 		return err
 	}
@@ -70,8 +70,20 @@
 	if page.Version < f.newest {
 		return ErrStale
 	}
-	page.Whole = true
 	f.applyPage(page)
 	f.markComplete(begun)
 	return nil
 }
+
+// readWhole reads the whole table.
+func (f *Feeder) readWhole(ctx context.Context) (Page, error) {
+	f.count.Add("store", "reads")
+	page, err := f.store.Read(ctx, f.table)
+	page.Whole = true
+	return page, err
+}
+
+// logHistoryGone logs that the table is read whole.
+func (f *Feeder) logHistoryGone() {
+	f.log.Info("store has discarded the requested changes; reading the whole table", zap.String("table", f.table))
+}
