Use endpoints that an older copy of the store lists only if they live

Requests reached an endpoint that had left, or were sent to it in vain: after the store had come back from a copy, the row of the endpoint said ready again, as before it announced its leaving or was removed, and ClearLeaving brought it back.

Within an incarnation (born) the rows of an endpoint are now ordered by seq, and an older one is ignored. The first whole read in another era is applied by PutCopy: a row of an older incarnation is ignored, and an endpoint that had left or was removed, and whose row is unchanged, is used only once it has been listed for four heartbeats since, as the store removes silent ones after three. A newer row or incarnation brings it back at once. Endpoints are not forgotten in this step, so that those that left while the store was away are still known.

Ruled out: to ignore such rows for ever. An endpoint whose row was removed by mistake and came back with the copy does not write it again, as its content is the same; it would never be used again.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -40,6 +40,8 @@
 	Name, Address, Pool, DataCentre string
 	// Incarnation distinguishes restarts of an endpoint.
 	Incarnation int64
+	// Sequence rises with each entry that an incarnation writes, 0 if unknown.
+	Sequence int64
 	// Slots is the maximum number of concurrently running requests.
 	Slots int
 	// Leaving reports that the endpoint is about to leave.
@@ -48,6 +50,12 @@
 	Weights map[string]int
 }
 
+// Before reports whether the entry is known to be older than another one of the same
+// incarnation.
+func (e Entry) Before(other Entry) bool {
+	return e.Incarnation > 0 && e.Sequence > 0 && e.Sequence < other.Sequence
+}
+
 // Monitor tracks one incarnation of an endpoint.
 type Monitor struct {
 	// Key identifies the incarnation in messages between instances.
@@ -67,6 +75,7 @@
 	loadingUntil    time.Time
 	backoffUntil    time.Time
 	leavingUntil    time.Time
+	resumeAt        time.Time
 	said            restrainer.Restrainer
 	failures        int
 	measuredMillis  float64
@@ -279,7 +288,7 @@
 	return View{
 		Entry: m.entry, Engine: m.engine, Load: load, Weights: m.weights[model],
 		InBackoff: m.backoffUntil.After(now), Loading: m.loadingUntil.After(now),
-		Leaving: !m.leavingUntil.IsZero() || m.said.Leaving(), Left: m.left(now), Held: m.said.HeldUntil().After(now), Limited: limited,
+		Leaving: m.leaving(now) || m.said.Leaving(), Left: m.left(now), Held: m.said.HeldUntil().After(now), Limited: limited,
 		SilentFor:    m.silentFor(now),
 		LatencyRatio: (m.measuredMillis + latencyPriorMillis) / (m.predictedMillis + latencyPriorMillis),
 	}
--- a/monitor/said.go
+++ b/monitor/said.go
@@ -12,6 +12,7 @@
 func (m *Monitor) MarkLeaving(deadline time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.resumeAt = time.Time{}
 	if m.leavingUntil.IsZero() || deadline.Before(m.leavingUntil) {
 		m.leavingUntil = deadline
 	}
@@ -21,7 +22,37 @@
 func (m *Monitor) ClearLeaving() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.leavingUntil = time.Time{}
+	m.leavingUntil, m.resumeAt = time.Time{}, time.Time{}
+}
+
+// ClearLeavingAt reverts MarkLeaving at a time, unless the endpoint is marked again before.
+func (m *Monitor) ClearLeavingAt(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leavingUntil.IsZero() {
+		m.resumeAt = at
+	}
+}
+
+// Resume reverts MarkLeaving if that is due.
+func (m *Monitor) Resume(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leaving(now) {
+		m.leavingUntil, m.resumeAt = time.Time{}, time.Time{}
+	}
+}
+
+// Resumes reports whether MarkLeaving is reverted at a time.
+func (m *Monitor) Resumes() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.resumeAt.IsZero()
+}
+
+// leaving reports whether MarkLeaving is in force. The caller holds the lock.
+func (m *Monitor) leaving(now time.Time) bool {
+	return !m.leavingUntil.IsZero() && (m.resumeAt.IsZero() || now.Before(m.resumeAt))
 }
 
 // Left reports whether the endpoint has left and must get no requests at now.
@@ -32,7 +63,7 @@
 }
 
 func (m *Monitor) left(now time.Time) bool {
-	return !m.leavingUntil.IsZero() && !now.Before(m.leavingUntil) || m.said.Left(now)
+	return m.leaving(now) && !now.Before(m.leavingUntil) || m.said.Left(now)
 }
 
 // Forgettable reports whether the endpoint is not listed any more since a time before
@@ -40,6 +71,9 @@
 func (m *Monitor) Forgettable(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.resumeAt.IsZero() {
+		return false
+	}
 	leftAt := m.leavingUntil
 	if _, limited := m.said.Limit(); limited || m.said.Leaving() || m.said.WaitUntil().After(now) {
 		return !leftAt.IsZero() && leftAt.Before(now.Add(-saidRetention))
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -140,12 +140,9 @@
 // also expire while their endpoints are up. One that is leaving and was not known may
 // have been for long: it is not used, as after the same entry is received again.
 func (r *Registrar) PutEndpoints(entries []monitor.Entry, gone []string, now, leaveBy time.Time) {
-	r.fleet.Update(func(old *Fleet) *Fleet {
-		byName := maps.Clone(old.All())
-		if byName == nil {
-			byName = map[string]*monitor.Monitor{}
-		}
+	r.updateEndpoints(func(byName map[string]*monitor.Monitor) {
 		for name, endpoint := range byName {
+			endpoint.Resume(now)
 			if endpoint.Forgettable(now) {
 				delete(byName, name)
 			}
@@ -156,26 +153,65 @@
 			}
 		}
 		for _, entry := range entries {
-			existing, entryLeaveBy := byName[entry.Name], leaveBy
-			if existing == nil {
-				entryLeaveBy = now
-			}
-			if existing != nil && existing.Entry().Incarnation == entry.Incarnation && existing.Entry().Address == entry.Address {
-				existing.Update(entry, r.engine(entry.Pool))
-			} else {
-				existing = monitor.New(endpointKey(entry), entry, r.engine(entry.Pool))
-				byName[entry.Name] = existing
-			}
-			if entry.Leaving {
-				existing.MarkLeaving(entryLeaveBy)
-			} else {
-				existing.ClearLeaving()
+			r.put(byName, entry, now, leaveBy, now)
+		}
+	})
+}
+
+// PutCopy applies the entries of an older copy of the list, as PutEndpoints does. Entries
+// of an older incarnation than the known one are ignored. An endpoint that was leaving or
+// removed is used only from resumeAt on, if it is still listed then.
+func (r *Registrar) PutCopy(entries []monitor.Entry, now, leaveBy, resumeAt time.Time) {
+	r.updateEndpoints(func(byName map[string]*monitor.Monitor) {
+		for _, entry := range entries {
+			existing := byName[entry.Name]
+			if existing == nil || entry.Incarnation >= existing.Entry().Incarnation {
+				r.put(byName, entry, now, leaveBy, resumeAt)
 			}
 		}
+	})
+}
+
+// updateEndpoints replaces the fleet by one with changed endpoints.
+func (r *Registrar) updateEndpoints(change func(byName map[string]*monitor.Monitor)) {
+	r.fleet.Update(func(old *Fleet) *Fleet {
+		byName := maps.Clone(old.All())
+		if byName == nil {
+			byName = map[string]*monitor.Monitor{}
+		}
+		change(byName)
 		return r.rebuildFleet(byName, old.Stores())
 	})
 }
 
+// put applies an entry to the endpoints by name. If it is not leaving it is used from
+// resumeAt on.
+func (r *Registrar) put(byName map[string]*monitor.Monitor, entry monitor.Entry, now, leaveBy, resumeAt time.Time) {
+	existing := byName[entry.Name]
+	if existing == nil {
+		leaveBy = now
+	}
+	news := true
+	if existing != nil && existing.Entry().Incarnation == entry.Incarnation && existing.Entry().Address == entry.Address {
+		if entry.Before(existing.Entry()) {
+			return
+		}
+		news = entry.Sequence > existing.Entry().Sequence
+		existing.Update(entry, r.engine(entry.Pool))
+	} else {
+		existing = monitor.New(endpointKey(entry), entry, r.engine(entry.Pool))
+		byName[entry.Name] = existing
+	}
+	switch {
+	case entry.Leaving:
+		existing.MarkLeaving(leaveBy)
+	case resumeAt.After(now):
+		existing.ClearLeavingAt(resumeAt)
+	case news || !existing.Resumes():
+		existing.ClearLeaving()
+	}
+}
+
 // rebuildFleet returns a fleet of the given endpoints and of the stores in the
 // configuration in force.
 func (r *Registrar) rebuildFleet(byName map[string]*monitor.Monitor, stores []*monitor.Monitor) *Fleet {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -115,3 +115,29 @@
 	state.PutEndpoints([]monitor.Entry{leaving}, nil, later, later.Add(time.Second))
 	assert.Assert(t, state.Fleet().All()["a"].Left(later))
 }
+
+// Guards against an endpoint that an older copy of its entry brings back, also if the copy is
+// received twice.
+func TestCopyOfEntries(t *testing.T) {
+	state := registrar.New(time.Now)
+	at := func(name string, incarnation, sequence int64, leaving bool) monitor.Entry {
+		e := entry(name, incarnation)
+		e.Sequence, e.Leaving = sequence, leaving
+		return e
+	}
+	list := func(entries ...monitor.Entry) { state.PutEndpoints(entries, nil, start, start) }
+	list(at("restarted", 2, 1, false), at("left", 1, 3, false), at("removed", 1, 3, false))
+	list(at("left", 1, 4, true))
+	state.PutEndpoints(nil, []string{"removed"}, start, start)
+	earlier := []monitor.Entry{at("restarted", 1, 9, false), at("left", 1, 3, false), at("removed", 1, 3, false)}
+	resumeAt := start.Add(4 * time.Second)
+	state.PutCopy(earlier, start, start, resumeAt)
+	assert.Equal(t, state.Fleet().All()["restarted"].Entry().Incarnation, int64(2))
+	list(earlier[1:]...)
+	left := func(name string, at time.Time) bool { return state.Fleet().All()[name].Left(at) }
+	assert.Assert(t, left("left", resumeAt))
+	assert.Assert(t, left("removed", resumeAt.Add(-1)))
+	assert.Assert(t, !left("removed", resumeAt))
+	state.PutEndpoints(nil, []string{"removed"}, start, start)
+	assert.Assert(t, left("removed", resumeAt))
+}
