Pass the configuration in force on to instances that start after a restore

Callers of an instance that had just started were answered by an older configuration than at all others (a withdrawn key was accepted, an added route not found), from a restore of the store until the operator wrote again: the instance read the older copy. The others kept theirs, but what they send each other are the tables, and by position the tables were equal.

The message of an instance has always named the version of its configuration; nothing read it. An instance that lacks no change of the tables but has an older version in force now requests the configuration itself, as it is stored, from the sender, and applies it like the row.

Ruled out: to keep the newer row in the table of the feeder. Instances compare positions, so one that has read the store itself would not ask.

--- a/informer/answerer.go
+++ b/informer/answerer.go
@@ -17,6 +17,7 @@
 	storeDown func() bool
 	known     func() ([]uint64, []int64)
 	pages     *packer
+	preserved *Preserved
 }
 
 // Request contains the versions of the tables at the caller.
@@ -107,7 +108,7 @@
 			return err
 		}
 	}
-	if err := server.RegisterName(service, &answerer{feeders: i.feeders, storeDown: i.storeDown, known: i.Known, pages: newPacker()}); err != nil {
+	if err := server.RegisterName(service, &answerer{feeders: i.feeders, storeDown: i.storeDown, known: i.Known, pages: newPacker(), preserved: i.preserved}); err != nil {
 		return err
 	}
 	for {
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -55,13 +55,16 @@
 	// nanoseconds. hadSource means that there was one.
 	awaitUntil atomic.Int64
 	hadSource  atomic.Bool
+	preserved  *Preserved
+	// newerContent receives the address of a peer with newer preserved content.
+	newerContent chan string
 }
 
 // New returns an informer of the tables that feeders follow. storeNow returns a time that the
 // clock of the store has reached and storeLatest one that it has not passed, false while it
 // is unknown.
 func New(feeders []*feeder.Feeder, dial func(address string) (net.Conn, error), storeNow, storeLatest func() (time.Time, bool), count *counter.Counter, log *zap.Logger) *Informer {
-	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan newerPeer, 1), storeNow: storeNow, storeLatest: storeLatest, count: count, log: log}
+	return &Informer{feeders: feeders, dial: dial, newerPeers: make(chan newerPeer, 1), newerContent: make(chan string, 1), storeNow: storeNow, storeLatest: storeLatest, count: count, log: log}
 }
 
 // Versions returns the versions of the last changes of the tables at this
@@ -91,6 +94,16 @@
 	}
 }
 
+// CatchUpContentFrom requests the preserved content of the peer at address, which has a newer
+// version although no change of a table is missing here. The call is ignored while another
+// peer is queued.
+func (i *Informer) CatchUpContentFrom(address string) {
+	select {
+	case i.newerContent <- address:
+	default: // another peer is queued
+	}
+}
+
 // AwaitSource makes the feeders wait for a source instead of polling the store,
 // until the given time at most. It has no effect once there was a source.
 func (i *Informer) AwaitSource(until time.Time) {
@@ -121,6 +134,10 @@
 			if i.Compare(peer.changes, nil) {
 				i.fetchFromPeer(peer.address)
 			}
+		case address := <-i.newerContent:
+			if i.preserved != nil {
+				i.fetchPreserved(address)
+			}
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -122,6 +122,8 @@
 	// Tables are the followed tables. The first is that of the configuration and of
 	// the announced weights.
 	Tables []FollowedTable
+	// Configuration is the configuration in force, which instances pass on.
+	Configuration *informer.Preserved
 	// Received bounds the memory of the messages that are received from endpoints, instances
 	// and the store, Bodies that of the callers' request bodies.
 	Received, Bodies *allotter.Allotter
@@ -172,6 +174,7 @@
 	}
 	dialPeer := weigher.New(deps.Received).Dial(deps.Dial)
 	r.informer = informer.New(r.feeders, dialPeer, deps.StoreNow, deps.StoreLatest, count, log)
+	r.informer.Preserve(deps.Configuration)
 	self := sharer.Peer{Name: options.Name, DataCentre: options.DataCentre, Address: options.PeerAddress, Rate: options.LinkMbps}
 	r.sharer = sharer.New(self, time.Now().UnixNano(), options.LastUseMillis, packets, state, quarantine, detect, r.informer, count, log, time.Now)
 	r.permitter = permitter.New(r.sharer.Home, dialPeer, count, time.Now)
--- a/sharer/receive.go
+++ b/sharer/receive.go
@@ -63,9 +63,7 @@
 	if !s.detector.Merge(msg.Suspects, now) {
 		msg.Suspects = nil
 	}
-	if s.hasNewerTable(msg) {
-		s.tables.CatchUpFrom(msg.SenderAddress, msg.Tables)
-	}
+	s.compareTables(msg)
 	s.forward(msg)
 }
 
@@ -189,15 +187,28 @@
 	}
 }
 
-// hasNewerTable reports whether the sender has a newer version of a table and
-// the table must be requested from it. Changes that the table source has are
-// received from it without a request.
-func (s *Sharer) hasNewerTable(msg *message) bool {
+// compareTables requests from the sender what it has newer than this instance: tables,
+// unless the source sends them without a request, or the configuration if an older copy of
+// the table has come here.
+func (s *Sharer) compareTables(msg *message) {
 	s.mu.Lock()
 	source := s.tableSource
 	s.mu.Unlock()
 	missing := s.tables.Compare(msg.Tables, msg.Complete)
-	return missing && msg.Name != source && msg.Hub == ""
+	switch {
+	case missing && msg.Name != source && msg.Hub == "":
+		s.tables.CatchUpFrom(msg.SenderAddress, msg.Tables)
+	case !missing && msg.Table > s.configuration():
+		s.tables.CatchUpContentFrom(msg.SenderAddress)
+	}
+}
+
+// configuration returns the version of the configuration in force, 0 if there is none.
+func (s *Sharer) configuration() int64 {
+	if table := s.registrar.Table(); table != nil {
+		return table.Version
+	}
+	return 0
 }
 
 // forward queues the events of a message for the instances to which a hub
--- a/sharer/send.go
+++ b/sharer/send.go
@@ -225,9 +225,7 @@
 		Loads: loads, Parts: queued.parts, Weights: queued.weights, EmptyStores: queued.emptyStores, Cases: queued.cases, Suspects: queued.suspects, Said: queued.said, Taken: queued.taken, Refusing: queued.refusing,
 	}
 	msg.Tables, msg.Complete = s.tables.Known()
-	if table := s.registrar.Table(); table != nil {
-		msg.Table = table.Version
-	}
+	msg.Table = s.configuration()
 	return msg
 }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -107,6 +107,9 @@
 	// CatchUpFrom requests the tables from the instance at address, whose last changes
 	// have newer versions.
 	CatchUpFrom(address string, changes []uint64)
+	// CatchUpContentFrom requests the configuration from the instance at address, which
+	// has a newer one in force although no change of a table is missing here.
+	CatchUpContentFrom(address string)
 }
 
 // Sharer sends the state of this instance to its peers and applies the state
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -44,6 +44,8 @@
 type tables struct {
 	version  uint64
 	catchUps atomic.Int64
+	// contents counts the requests for a newer configuration.
+	contents atomic.Int64
 }
 
 func (t *tables) Known() ([]uint64, []int64) { return []uint64{t.version}, []int64{0} }
@@ -54,6 +56,8 @@
 
 func (t *tables) CatchUpFrom(string, []uint64) { t.catchUps.Add(1) }
 
+func (t *tables) CatchUpContentFrom(string) { t.contents.Add(1) }
+
 func newInstance(t *testing.T, name string, version int64) *instance {
 	t.Helper()
 	return newInstanceIn(t, name, "", version)
