Report a write that another era of the store answered

Cause: a write of a row is conditional on a version. After the store came back from an older copy, it gives out the version again, for another content, so that a write which is conditional on a row that was read before can succeed, and one that succeeded before can be lost. Both looked like a success.

Change: a Write has the era of the row that its version is of, and Apply returns tabler.ErrOtherEra if the answer is of another one. The lease and the archive pass it on. A table without eras has era 0 throughout.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode archive")
 	}
-	conflicts, err := a.table.Apply(callCtx, []tabler.Write{{Key: a.key, Value: value, Version: rows[0].Version}})
+	conflicts, err := a.table.Apply(callCtx, []tabler.Write{{Key: a.key, Value: value, Version: rows[0].Version, Era: rows[0].Era}})
 	if err != nil {
 		return eris.Wrap(err, "write the archive")
 	}
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -142,7 +142,7 @@
 	next.Prior = l.priorMillis(begun)
 	l.attempted = true
 	next.Until = l.tableMillis(l.terms.length() - l.terms.margin())
-	return l.write(ctx, next, rows[0].Version, begun)
+	return l.write(ctx, next, rows[0], begun)
 }
 
 // isEarlierProcess reports whether a holder was an earlier process of this instance.
@@ -234,16 +234,16 @@
 	}
 	next := row{FencingToken: old.FencingToken, Count: old.Count + 1, Idle: l.now().Sub(lastUse).Milliseconds()}
 	next.Until = l.tableMillis(lastUse.Sub(begun)) // the estimate is not before the time at which the read began
-	_, err = l.write(ctx, next, rows[0].Version, l.now())
+	_, err = l.write(ctx, next, rows[0], l.now())
 	return err == nil, err
 }
 
-func (l *Leaser) write(ctx context.Context, next row, version uint64, begun time.Time) (Lease, error) {
+func (l *Leaser) write(ctx context.Context, next row, read tabler.Row, begun time.Time) (Lease, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Lease{}, eris.Wrap(err, "encode the row of the lease")
 	}
-	conflicts, err := l.table.Apply(ctx, []tabler.Write{{Key: l.key, Value: value, Version: version}})
+	conflicts, err := l.table.Apply(ctx, []tabler.Write{{Key: l.key, Value: value, Version: read.Version, Era: read.Era}})
 	if err != nil {
 		return Lease{}, eris.Wrap(err, "write the row of the lease")
 	}
