Keep the use by an earlier process that the next one only reserved over

Cause: an instance that starts again takes over the lease of its earlier process at once. If it only reserves it, the row says that its holder has not used it, and how long ago another instance had. The use by the earlier process, which is one of the same instance, appears nowhere, and the next instance takes the time before that for the last use and doesn't pause.

Change: such a reservation stays one only if the earlier process had only reserved the lease, too.

Evidence: TestReservationAfterAnEarlierProcess gives 16.998 s since the last use on the code before, 11 s are right; passes now.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -136,7 +136,7 @@
 			return Lease{}, ErrHeld
 		}
 		next.FencingToken++
-		next.Reserved = reserve
+		next.Reserved = reserve && (old.Reserved || !l.isEarlierProcess(old.Holder))
 		l.previousUse = l.lastUse(old, begun)
 	}
 	next.Prior = l.priorMillis(begun)
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -335,3 +335,25 @@
 		assert.Check(t, idle <= want && idle > want-10*time.Millisecond, "idle for %s, acquired: %t", idle, acquired)
 	}
 }
+
+// Guards against a use by an earlier process that is forgotten when the next process of
+// the instance only reserved the lease.
+func TestReservationAfterAnEarlierProcess(t *testing.T) {
+	now := time.UnixMilli(5000)
+	table := emulator.New(func() time.Time { return now }).Table()
+	for _, holder := range []string{"a@1", "a@2"} {
+		l, _ := start(table, &now, holder, time.Hour, 0)
+		take := l.Acquire
+		if holder == "a@2" {
+			take = l.Reserve
+		}
+		_, err := take(t.Context())
+		assert.NilError(t, err)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(10 * time.Second)
+	other, clock := start(table, &now, "b@1", 0, 0)
+	lease, err := other.Acquire(t.Context())
+	assert.NilError(t, err)
+	assert.Check(t, !lease.PreviousUse.Before(clock().Add(-11*time.Second)), "the lease was used 11 s ago, not %s", clock().Sub(lease.PreviousUse))
+}
