Bound the last use of a lease by a time after its row was read

Cause: the bound of the last use by another holder was the time at which the read of the row began. The other one may use the lease while that read is on its way: with a read of 4 s, 0.5 s after the bound.

Change: the bound is a time after the read.

Evidence: TestUseDuringARead ("the bound is 500ms before a use" on the code before) passes.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -137,7 +137,7 @@
 		}
 		next.FencingToken++
 		next.Reserved = reserve && (old.Reserved || !l.isEarlierProcess(old.Holder))
-		l.previousUse = l.lastUse(old, begun)
+		l.previousUse = l.lastUse(old)
 	}
 	next.Prior = l.priorMillis(begun)
 	l.attempted = true
@@ -160,11 +160,11 @@
 
 // lastUse returns an upper bound of the time at which another instance last used the
 // lease in a row, by the local clock. It is zero if there was no other holder.
-func (l *Leaser) lastUse(old row, begun time.Time) time.Time {
+func (l *Leaser) lastUse(old row) time.Time {
 	if old.FencingToken == 0 {
 		return time.Time{}
 	}
-	bound := begun
+	bound := l.now()
 	slack := 2 * l.terms.margin() // the last use may be a call that arrives late
 	if old.Holder == "" {
 		bound, slack = l.rowReadAt.Add(-time.Duration(old.Idle)*time.Millisecond), 0
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -357,3 +357,30 @@
 	assert.NilError(t, err)
 	assert.Check(t, !lease.PreviousUse.Before(clock().Add(-11*time.Second)), "the lease was used 11 s ago, not %s", clock().Sub(lease.PreviousUse))
 }
+
+// slowRequests is a table whose reads call meanwhile before they take place.
+type slowRequests struct {
+	tabler.Table
+	meanwhile func()
+}
+
+func (s slowRequests) Get(ctx context.Context, keys ...string) ([]tabler.Row, error) {
+	s.meanwhile()
+	return s.Table.Get(ctx, keys...)
+}
+
+// Guards against a bound of the last use before a use while the row is being read.
+func TestUseDuringARead(t *testing.T) {
+	now := time.UnixMilli(5000)
+	table := emulator.New(func() time.Time { return now }).Table()
+	first, _ := start(table, &now, "a@1", 0, 0)
+	held, err := first.Acquire(t.Context())
+	assert.NilError(t, err)
+	now = now.Add(6 * time.Second)
+	used := now.Add(500 * time.Millisecond)
+	second, _ := start(slowRequests{table, func() { now = now.Add(4010 * time.Millisecond) }}, &now, "b@1", 0, 0)
+	lease, err := second.Acquire(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, held.Valid(used))
+	assert.Check(t, !lease.PreviousUse.Before(used), "the bound is %s before a use", used.Sub(lease.PreviousUse))
+}
