Derive fencing tokens from the era and version of the replaced row

Cause: the last token is kept in the row of the lease only. When the table comes back from a copy without that row, the count starts at 1 again, or goes back to that of an earlier holder.

Ruled out: a count for each era (era<<32|count). A write of an earlier era that is carried out late can replace the row with the count.

Change: in a table with eras, a token has the era in its high bits and below them the version of the row that was replaced. A version is replaced once at most in its era, and rises. 13 bits for the era and 40 for the version fit into the integers that JSON numbers represent. Without eras, tokens are counted as before.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -17,6 +17,13 @@
 // ErrHeld means that another holder has the lease.
 var ErrHeld = eris.New("the lease is held by another")
 
+// eraBits and versionBits are the bits of a fencing token for the era and the version of the
+// row. Together they fit in the integers that JSON numbers represent exactly.
+const (
+	eraBits     = 13
+	versionBits = 40
+)
+
 // Terms are the durations of a lease.
 type Terms struct {
 	// LengthMillis is how long a lease lasts unless it is renewed.
@@ -135,7 +142,9 @@
 		if old.Holder != "" && !l.isEarlierProcess(old.Holder) && begun.Before(l.rowReadAt.Add(l.terms.length()+l.terms.margin())) && !l.endedByTable(old) {
 			return Lease{}, ErrHeld
 		}
-		next.FencingToken++
+		if next.FencingToken, err = nextToken(old, rows[0]); err != nil {
+			return Lease{}, err
+		}
 		next.Reserved = reserve && (old.Reserved || !l.isEarlierProcess(old.Holder))
 		l.previousUse = l.lastUse(old)
 	}
@@ -145,6 +154,19 @@
 	return l.write(ctx, next, rows[0], begun)
 }
 
+// nextToken returns a fencing token that is above all earlier ones. In a table with eras it
+// is of the era and the version that is replaced, which only one write in the era can do:
+// tokens in rows may have been lost.
+func nextToken(old row, read tabler.Row) (uint64, error) {
+	if read.Era == 0 {
+		return old.FencingToken + 1, nil
+	}
+	if read.Era>>eraBits > 0 || read.Version>>versionBits > 0 {
+		return 0, eris.Errorf("no fencing token is left in era %d for version %d", read.Era, read.Version)
+	}
+	return read.Era<<versionBits | read.Version, nil
+}
+
 // isEarlierProcess reports whether a holder was an earlier process of this instance.
 func (l *Leaser) isEarlierProcess(other string) bool {
 	name, _, named := strings.Cut(l.holder, "@")
--- a/leaser/schedule_test.go
+++ b/leaser/schedule_test.go
@@ -22,6 +22,8 @@
 	copies  []store
 }
 
+func newStore() *store { return &store{row: tabler.Row{Era: 1}} }
+
 // keep makes a copy that restore brings back.
 func (s *store) keep() {
 	s.copies = append(s.copies, store{row: s.row, counter: s.counter})
@@ -329,7 +331,7 @@
 func run(t *rapid.T, restores bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	m := &model{T: t, ctx: ctx, now: time.UnixMilli(5_000_000), store: &store{row: tabler.Row{Era: 1}}, owners: map[uint64]*process{}, uses: map[int]time.Time{}}
+	m := &model{T: t, ctx: ctx, now: time.UnixMilli(5_000_000), store: newStore(), owners: map[uint64]*process{}, uses: map[int]time.Time{}}
 	m.store.keep()
 	for instance := range 3 {
 		m.processes = append(m.processes, m.start(instance))
