Trust a row of the lease only in the era in which it was written

Cause: when the table comes back from an older copy, the row of the holder is gone or that of an earlier holder, one who has released it, or one whose lease ended long ago. An instance that read it took the lease at once, while the holder went on until its end, and the time of the last use was lost with the row, so that the next holder didn't pause.

Change: a row names the era in which its holder read the row before. If that is not the era in which it is read, the row says nothing of the holder: the lease is free once the row was seen unchanged in the new era for the length and the margin, since each lease of an earlier era has ended by then, and the last use is bounded by that time. A missing row is the same, so that the very first holder also waits so long from its first read. The holder itself may write the row of the new era as long as its lease is valid, keeps its token, and may release it. A row of an earlier era that is written late over the row of the holder is treated alike, and the wait begins anew with each version and era.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -57,6 +57,11 @@
 // instances: the lease of another holder has expired when its row was seen unchanged
 // for the length and the margin by the local clock, which must continue while the
 // process is suspended, or when the end in its row has passed by the table's clock.
+//
+// A table that came back from an older copy may have lost the row of the holder. A row
+// that was not written in the era in which it is read says nothing about that: whoever
+// held the lease in earlier eras, it has ended when the row was seen unchanged in the new
+// era for the length and the margin. Only the holder may write the row before.
 type Leaser struct {
 	table    tabler.Table
 	key      string
@@ -66,11 +71,13 @@
 	tableNow func() (time.Time, bool)
 
 	mu sync.Mutex
-	// rowVersion is the last version of the row, rowReadAt when it was first
-	// read.
-	rowVersion  uint64
-	rowReadAt   time.Time
-	previousUse time.Time
+	// rowEra and rowVersion are the last version of the row and the era in which it
+	// was read, rowReadAt when that was first read.
+	rowEra, rowVersion uint64
+	rowReadAt          time.Time
+	previousUse        time.Time
+	// held is the lease that this holder acquired last.
+	held Lease
 	// attempted means that this holder has tried to acquire the lease, released
 	// that it has released it permanently.
 	attempted, released bool
@@ -93,6 +100,9 @@
 	// Prior is an upper bound of the time at which another instance used the lease
 	// before the holder had it, in milliseconds by the table's clock, 0 if unknown.
 	Prior int64 `json:"prior,omitempty"`
+	// Era is the era of the table in which the holder read the row that this one
+	// replaced.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // New returns a leaser of the lease in the row with a key. The holder's name
@@ -124,34 +134,51 @@
 		return Lease{}, ErrHeld
 	}
 	begun := l.now() // not the time of the answer: the lease would end too late
-	rows, err := l.table.Get(ctx, l.key)
+	old, read, err := l.read(ctx)
 	if err != nil {
-		return Lease{}, eris.Wrap(err, "read the row of the lease")
-	}
-	var old row
-	if rows[0].Version > 0 {
-		if err := json.Unmarshal(rows[0].Value, &old); err != nil {
-			return Lease{}, eris.Wrap(err, "decode the row of the lease")
-		}
+		return Lease{}, err
 	}
-	if rows[0].Version != l.rowVersion {
-		l.rowVersion, l.rowReadAt = rows[0].Version, l.now()
-	}
-	next := row{Holder: l.holder, FencingToken: old.FencingToken, Count: old.Count + 1, Reserved: reserve && old.Reserved}
-	if old.Holder != l.holder {
-		if old.Holder != "" && !l.isEarlierProcess(old.Holder) && begun.Before(l.rowReadAt.Add(l.terms.length()+l.terms.margin())) && !l.endedByTable(old) {
+	next := row{Holder: l.holder, FencingToken: old.FencingToken, Count: old.Count + 1, Era: read.Era, Reserved: reserve && old.Reserved}
+	switch lost := old.Era != read.Era; {
+	case lost && l.held.Valid(l.now()):
+		next.FencingToken, next.Reserved = l.held.FencingToken, reserve && l.held.Reserved
+	case lost || old.Holder != l.holder:
+		if l.isHeld(old, read, begun) {
 			return Lease{}, ErrHeld
 		}
-		if next.FencingToken, err = nextToken(old, rows[0]); err != nil {
+		if next.FencingToken, err = nextToken(old, read); err != nil {
 			return Lease{}, err
 		}
-		next.Reserved = reserve && (old.Reserved || !l.isEarlierProcess(old.Holder))
-		l.previousUse = l.lastUse(old)
+		next.Reserved = reserve && (lost || old.Reserved || !l.isEarlierProcess(old.Holder))
+		l.previousUse = l.lastUse(old, read)
 	}
 	next.Prior = l.priorMillis(begun)
 	l.attempted = true
 	next.Until = l.tableMillis(l.terms.length() - l.terms.margin())
-	return l.write(ctx, next, rows[0], begun)
+	lease, err := l.write(ctx, next, read, begun)
+	if err == nil {
+		l.held = lease
+	}
+	return lease, err
+}
+
+// read reads the row of the lease and records when this version of it was first read.
+func (l *Leaser) read(ctx context.Context) (row, tabler.Row, error) {
+	rows, err := l.table.Get(ctx, l.key)
+	if err != nil {
+		return row{}, tabler.Row{}, eris.Wrap(err, "read the row of the lease")
+	}
+	var decoded row
+	read := rows[0]
+	if read.Version > 0 {
+		if err := json.Unmarshal(read.Value, &decoded); err != nil {
+			return row{}, tabler.Row{}, eris.Wrap(err, "decode the row of the lease")
+		}
+	}
+	if read.Version != l.rowVersion || read.Era != l.rowEra {
+		l.rowEra, l.rowVersion, l.rowReadAt = read.Era, read.Version, l.now()
+	}
+	return decoded, read, nil
 }
 
 // nextToken returns a fencing token that is above all earlier ones. In a table with eras it
@@ -167,6 +194,17 @@
 	return read.Era<<versionBits | read.Version, nil
 }
 
+// isHeld reports whether another holder may have the lease in a row that was read.
+func (l *Leaser) isHeld(old row, read tabler.Row, begun time.Time) bool {
+	if !begun.Before(l.rowReadAt.Add(l.terms.length() + l.terms.margin())) {
+		return false
+	}
+	if old.Era != read.Era {
+		return true
+	}
+	return old.Holder != "" && !l.isEarlierProcess(old.Holder) && !l.endedByTable(old)
+}
+
 // isEarlierProcess reports whether a holder was an earlier process of this instance.
 func (l *Leaser) isEarlierProcess(other string) bool {
 	name, _, named := strings.Cut(l.holder, "@")
@@ -182,7 +220,10 @@
 
 // lastUse returns an upper bound of the time at which another instance last used the
 // lease in a row, by the local clock. It is zero if there was no other holder.
-func (l *Leaser) lastUse(old row) time.Time {
+func (l *Leaser) lastUse(old row, read tabler.Row) time.Time {
+	if old.Era != read.Era {
+		return l.rowReadAt.Add(l.terms.length() + l.terms.margin())
+	}
 	if old.FencingToken == 0 {
 		return time.Time{}
 	}
@@ -237,26 +278,23 @@
 		return false, nil
 	}
 	begun := l.now()
-	rows, err := l.table.Get(ctx, l.key)
+	old, read, err := l.read(ctx)
 	if err != nil {
-		return false, eris.Wrap(err, "read the row of the lease")
-	}
-	var old row
-	if rows[0].Version == 0 {
-		return false, nil
-	}
-	if err := json.Unmarshal(rows[0].Value, &old); err != nil {
-		return false, eris.Wrap(err, "decode the row of the lease")
+		return false, err
 	}
-	if old.Holder != l.holder {
+	lost := old.Era != read.Era
+	switch {
+	case lost && l.held.Valid(l.now()):
+		old.FencingToken = l.held.FencingToken
+	case lost || old.Holder != l.holder:
 		return false, nil
 	}
 	if lastUse.Before(l.previousUse) {
 		lastUse = l.previousUse
 	}
-	next := row{FencingToken: old.FencingToken, Count: old.Count + 1, Idle: l.now().Sub(lastUse).Milliseconds()}
+	next := row{FencingToken: old.FencingToken, Count: old.Count + 1, Era: read.Era, Idle: l.now().Sub(lastUse).Milliseconds()}
 	next.Until = l.tableMillis(lastUse.Sub(begun)) // the estimate is not before the time at which the read began
-	_, err = l.write(ctx, next, rows[0], l.now())
+	_, err = l.write(ctx, next, read, l.now())
 	return err == nil, err
 }
 
--- a/leaser/schedule_test.go
+++ b/leaser/schedule_test.go
@@ -347,3 +347,8 @@
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { run(t, false) })
 }
+
+// Guards against the same when the table comes back from an older copy.
+func TestSchedulesWithRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { run(t, true) })
+}
