Begin the wait for lost holders before the lease is needed

Cause: a row of the lease that is not of the current era keeps the lease for its length and a margin from the first read, then orders pause after the last use that a lost holder may have made. The first read took place when the lease was needed, also in a system that had just been set up.

Ruled out: to know the first era of a store, which has no earlier holder.

Change: each candidate reads the row once in each era of the table, as soon as it knows the era and does not hold the lease. In the same era, a row has another version whenever it was written, so that the wait may begin then.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -127,6 +127,15 @@
 // must not act. Its successor finds in the row that the lease was not used.
 func (l *Leaser) Reserve(ctx context.Context) (Lease, error) { return l.acquire(ctx, true) }
 
+// Observe reads the row of the lease. If it names no holder of the current era, Acquire waits
+// for a holder of an earlier one from then on.
+func (l *Leaser) Observe(ctx context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _, err := l.read(ctx)
+	return err
+}
+
 func (l *Leaser) acquire(ctx context.Context, reserve bool) (Lease, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/roller/lease.go
+++ b/roller/lease.go
@@ -46,6 +46,22 @@
 	return held.Valid(r.now())
 }
 
+// observeLease reads the row of the lease once in each era of its table, before this
+// instance needs the lease: the wait for a holder whose row was lost begins with that.
+func (r *Roller) observeLease(ctx context.Context) {
+	era := r.tableEra()
+	if era == r.observedEra {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := r.lease.Observe(limit); err != nil {
+		r.count.Add("orders", "lease-unread")
+		return
+	}
+	r.observedEra = era
+}
+
 // pausing reports whether another instance may have sent an order too recently.
 func (r *Roller) pausing(held leaser.Lease) bool {
 	return !held.PreviousUse.IsZero() && r.now().Before(held.PreviousUse.Add(r.orderPause))
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -98,6 +98,7 @@
 	registrar  *registrar.Registrar
 	engines    EngineClient
 	lease      *leaser.Leaser
+	tableEra   func() uint64
 	sharer     *sharer.Sharer
 	orderPause time.Duration
 	count      *counter.Counter
@@ -105,6 +106,8 @@
 	now        func() time.Time
 
 	held holder.Value[leaser.Lease]
+	// observedEra is the era of the table in which the row of the lease was read last.
+	observedEra uint64
 	// vacantSince is when there were outdated engines and no other instance that
 	// led their rollout, zero if there are none.
 	vacantSince time.Time
@@ -131,9 +134,10 @@
 
 // New returns a roller for the instance named name. orderPause is the minimum
 // time between the last order of one lease holder and the first of the next.
-// now is a clock that continues while the process is suspended.
-func New(name string, state *registrar.Registrar, engines EngineClient, lease *leaser.Leaser, stateSharer *sharer.Sharer, orderPause time.Duration, count *counter.Counter, log *zap.Logger, now func() time.Time) *Roller {
-	return &Roller{name: name, registrar: state, engines: engines, lease: lease, sharer: stateSharer, orderPause: orderPause, count: count, log: log, now: now, updating: map[uint64]bool{}, failures: map[uint64]int{}, retryAt: map[uint64]time.Time{}}
+// tableEra returns the newest known era of the table with the lease, 0 if it has none. now
+// is a clock that continues while the process is suspended.
+func New(name string, state *registrar.Registrar, engines EngineClient, lease *leaser.Leaser, tableEra func() uint64, stateSharer *sharer.Sharer, orderPause time.Duration, count *counter.Counter, log *zap.Logger, now func() time.Time) *Roller {
+	return &Roller{name: name, registrar: state, engines: engines, lease: lease, tableEra: tableEra, sharer: stateSharer, orderPause: orderPause, count: count, log: log, now: now, updating: map[uint64]bool{}, failures: map[uint64]int{}, retryAt: map[uint64]time.Time{}}
 }
 
 // Run sends orders until ctx ends.
@@ -183,6 +187,9 @@
 	if r.rank() < 0 && !held.Valid(now) {
 		return false
 	}
+	if !held.Valid(now) {
+		r.observeLease(ctx)
+	}
 	tasks := r.tasks()
 	if len(tasks) == 0 {
 		r.vacantSince = time.Time{}
--- a/roller/roller_test.go
+++ b/roller/roller_test.go
@@ -238,7 +238,11 @@
 	noClock := func() (time.Time, bool) { return time.Time{}, false }
 	stateSharer := sharer.New(self, incarnation, 500, conn, state, quarantiner.New(), detector.New(), informer.New(nil, nil, noClock, noClock, count, zap.NewNop()), count, zap.NewNop(), time.Now)
 	lease := leaser.New(table, "lease", fmt.Sprintf("%s@%d", name, incarnation), leaser.Terms{LengthMillis: 1500, MarginMillis: 300}, time.Now, tableNow)
-	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
+	tableEra := func() uint64 { return 0 }
+	if restorable, ok := table.(*restorableTable); ok {
+		tableEra = restorable.currentEra
+	}
+	return roller.New(name, state, engineClient{fleet: engines, holder: name}, lease, tableEra, stateSharer, orderPause, count, zap.NewNop(), time.Now), stateSharer
 }
 
 // Guards against a rollout that takes too many engines out of service at once,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -131,6 +131,9 @@
 	StoreNow func() (time.Time, bool)
 	// StoreLatest is the same for a time that may be ahead but never behind.
 	StoreLatest func() (time.Time, bool)
+	// StoreEra returns the newest known era of the platform's store, which rises when it
+	// comes back from a copy that lacks its last writes, 0 if unknown.
+	StoreEra func() uint64
 	// MonotonicNow returns the time of a clock that continues while the process
 	// is suspended.
 	MonotonicNow func() time.Time
@@ -190,7 +193,7 @@
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
 	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow, deps.StoreNow)
 	orderPause := time.Duration(options.OrderPauseMillis) * time.Millisecond
-	r.roller = roller.New(options.Name, state, r.engines(), lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
+	r.roller = roller.New(options.Name, state, r.engines(), lease, deps.StoreEra, r.sharer, orderPause, count, log, deps.MonotonicNow)
 	return r, nil
 }
 
