Write the archive again when the store may have lost it

Cause: an instance writes the row when it knows something that the row lacks, and compared with what it had last read or written itself. When the store loses the row, that is still the same. The reads of the rows every 15 s notice an older row, but not a missing one.

Change: what was read or written in an earlier era counts as unknown, so that the writers read the row once in the new era and write what is missing.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -37,6 +37,7 @@
 	registrar *registrar.Registrar
 	detector  *detector.Detector
 	tableNow  func() (time.Time, bool)
+	tableEra  func() uint64
 	rank      func() int
 	// maxLeftMillis bounds the time for which older weights are usable.
 	maxLeftMillis int
@@ -49,16 +50,19 @@
 	// failing means that the last write failed.
 	failing bool
 	mu      sync.Mutex
-	// stored is the row as it was last read or written.
-	stored archive
+	// stored is the row as it was last read or written, storedEra the era of the table in
+	// which it was.
+	stored    archive
+	storedEra uint64
 }
 
 // New returns an archiver of the row with a key. tableNow returns the time by the
-// table's clock, and false while it is unknown. rank returns how many live instances
+// table's clock, and false while it is unknown. tableEra returns the newest known era of the
+// table, 0 if it has none. rank returns how many live instances
 // precede this one as writers, or -1 if it writes nothing. Older weights are usable for
 // maxLeftMillis at most.
-func New(table tabler.Table, key string, state *registrar.Registrar, detect *detector.Detector, tableNow func() (time.Time, bool), rank func() int, maxLeftMillis int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
-	return &Archiver{table: table, key: key, registrar: state, detector: detect, tableNow: tableNow, rank: rank, maxLeftMillis: maxLeftMillis, count: count, log: log, now: now}
+func New(table tabler.Table, key string, state *registrar.Registrar, detect *detector.Detector, tableNow func() (time.Time, bool), tableEra func() uint64, rank func() int, maxLeftMillis int, count *counter.Counter, log *zap.Logger, now func() time.Time) *Archiver {
+	return &Archiver{table: table, key: key, registrar: state, detector: detect, tableNow: tableNow, tableEra: tableEra, rank: rank, maxLeftMillis: maxLeftMillis, count: count, log: log, now: now}
 }
 
 // Run writes the row until ctx ends.
@@ -75,8 +79,8 @@
 	}
 }
 
-// Restore applies the value of the row.
-func (a *Archiver) Restore(value []byte) {
+// Restore applies the value of the row, which was read in an era of the table.
+func (a *Archiver) Restore(value []byte, era uint64) {
 	tableNow, known := a.tableNow()
 	if !known {
 		return // the next read brings the clock, too
@@ -87,7 +91,7 @@
 		a.log.Warn("malformed archive not restored", zap.String("error", err.Error()))
 		return
 	}
-	a.setStored(read)
+	a.setStored(read, era)
 	for model, versions := range read.versions() {
 		for _, v := range versions {
 			a.restoreVersion(model, v, v.OlderUntil.Sub(tableNow))
@@ -184,7 +188,7 @@
 	tableNow, _ := a.tableNow()
 	next, missing := a.update(read, tableNow)
 	if !missing {
-		a.setStored(read)
+		a.setStored(read, rows[0].Era)
 		return nil
 	}
 	value, err := json.Marshal(next)
@@ -197,7 +201,7 @@
 	}
 	if len(conflicts) == 0 {
 		a.count.Add("archive", "written")
-		a.setStored(next)
+		a.setStored(next, rows[0].Era)
 	}
 	return nil
 }
@@ -212,14 +216,20 @@
 	a.writeAt = a.now().Add(pacer.Jitter(writerDelay))
 }
 
+// loadStored returns what the row contains, as far as known: nothing if it may have been
+// lost in a newer era.
 func (a *Archiver) loadStored() archive {
+	era := a.tableEra()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.storedEra != era {
+		return archive{}
+	}
 	return a.stored
 }
 
-func (a *Archiver) setStored(stored archive) {
+func (a *Archiver) setStored(stored archive, era uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.stored = stored
+	a.stored, a.storedEra = stored, era
 }
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -40,7 +41,11 @@
 	state := registrar.New(func() time.Time { return time.Now().Add(zero) })
 	i := &instance{registrar: state, detector: detector.New(), stop: cancel}
 	tableNow := func() (time.Time, bool) { return time.Now(), true }
-	i.Archiver = archiver.New(table, key, state, i.detector, tableNow, func() int { return rank }, maxLeftMillis, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
+	tableEra := func() uint64 { return 0 }
+	if restorable, ok := table.(*restorableTable); ok {
+		tableEra = restorable.era.Load
+	}
+	i.Archiver = archiver.New(table, key, state, i.detector, tableNow, tableEra, func() int { return rank }, maxLeftMillis, counter.New(metrics.NewRegistry()), zap.NewNop(), time.Now)
 	go i.Run(ctx)
 	return i
 }
@@ -74,13 +79,13 @@
 		first.stop()
 		second := start(t, table, 0, -time.Hour)
 		second.announce(2, 3*time.Second, true)
-		second.Restore(read(t, table).Value)
+		second.Restore(read(t, table).Value, 0)
 		assert.Equal(t, second.left(2), 6*time.Second)
 		second.announce(3, 20*time.Second, false)
 		time.Sleep(time.Second)
 		second.stop()
 		third := start(t, table, 0, 0)
-		third.Restore(read(t, table).Value)
+		third.Restore(read(t, table).Value, 0)
 		assert.Equal(t, third.left(2), 5*time.Second)
 		assert.Equal(t, third.left(3), 19*time.Second)
 		third.stop()
@@ -93,7 +98,7 @@
 	table := emulator.New(time.Now).Table()
 	i := start(t, table, 0, 0)
 	defer i.stop()
-	i.Restore(fmt.Appendf(nil, `{"versions":[{"model":"m","number":2,"until":%d}]}`, time.Now().Add(25*time.Hour).UnixMilli()))
+	i.Restore(fmt.Appendf(nil, `{"versions":[{"model":"m","number":2,"until":%d}]}`, time.Now().Add(25*time.Hour).UnixMilli()), 0)
 	assert.Equal(t, i.left(2), time.Minute)
 }
 
@@ -113,7 +118,7 @@
 		second := start(t, table, 0, 0)
 		defer second.stop()
 		second.announce(2, 3*time.Second, true)
-		second.Restore(read(t, table).Value)
+		second.Restore(read(t, table).Value, 0)
 		assert.Equal(t, second.left(2), 6*time.Second)
 		assert.Equal(t, read(t, table).Version, uint64(2))
 	})
@@ -177,7 +182,7 @@
 		time.Sleep(time.Second)
 		second := start(t, table, 0, 0)
 		defer second.stop()
-		second.Restore(read(t, table).Value)
+		second.Restore(read(t, table).Value, 0)
 		found := second.detector.Refused(time.Now())
 		assert.Equal(t, len(found), 1)
 		assert.Equal(t, found[0].Name, "p")
@@ -198,7 +203,7 @@
 			_, err := table.Apply(t.Context(), []tabler.Write{{Key: key, Value: []byte(value)}})
 			assert.NilError(t, err)
 			i := start(t, table, 0, 0)
-			i.Restore([]byte(value))
+			i.Restore([]byte(value), 0)
 			assert.Equal(t, i.registrar.Versions("m").Newest(), 0)
 			i.announce(2, time.Minute, false)
 			time.Sleep(time.Second)
@@ -207,3 +212,72 @@
 		}
 	})
 }
+
+// restorableTable is a table with eras that can lose all of its rows.
+type restorableTable struct {
+	tabler.Table
+	mu  sync.Mutex
+	era atomic.Uint64
+}
+
+func newRestorableTable() *restorableTable {
+	table := &restorableTable{}
+	table.lose()
+	return table
+}
+
+// lose makes the table come back from a copy without any rows.
+func (r *restorableTable) lose() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Table = emulator.New(time.Now).Table()
+	r.era.Add(1)
+}
+
+func (r *restorableTable) Get(ctx context.Context, keys ...string) ([]tabler.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows, err := r.Table.Get(ctx, keys...)
+	for i := range rows {
+		rows[i].Era = r.era.Load()
+	}
+	return rows, err
+}
+
+func (r *restorableTable) Apply(ctx context.Context, writes []tabler.Write) ([]tabler.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if writes[0].Era != r.era.Load() {
+		return nil, tabler.ErrOtherEra
+	}
+	return r.Table.Apply(ctx, writes)
+}
+
+// Guards against an archive that is not written again after the table has lost it, and
+// against one that is written again although it is there.
+func TestLostArchive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newRestorableTable()
+		first, last := start(t, table, 0, time.Hour), start(t, table, 2, 0)
+		defer last.stop()
+		for _, i := range []*instance{first, last} {
+			i.announce(2, time.Minute, false)
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, read(t, table).Version, uint64(1))
+		table.lose()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, read(t, table).Version, uint64(1))
+		table.era.Add(1)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, read(t, table).Version, uint64(1), "the row was not lost")
+		first.stop()
+		time.Sleep(time.Second)
+		table.lose()
+		time.Sleep(3 * time.Second)
+		second := start(t, table, 0, 0)
+		defer second.stop()
+		second.Restore(read(t, table).Value, table.era.Load())
+		assert.Equal(t, second.left(2), 47*time.Second)
+	})
+}
--- a/runner/discover.go
+++ b/runner/discover.go
@@ -56,11 +56,12 @@
 
 // readRows reads and applies the rows of the instances and the archive.
 func (r *Runner) readRows(ctx context.Context) error {
+	era := r.deps.StoreEra()
 	rows, err := r.deps.PeerRows(ctx)
 	if err != nil {
 		return err
 	}
-	r.restoreArchive(rows)
+	r.restoreArchive(rows, era)
 	r.sharer.AddPeers(r.decodePeers(rows))
 	if r.sharer.AwaitsHub() {
 		r.informer.AwaitSource(time.Now().Add(hubWait))
@@ -68,11 +69,11 @@
 	return nil
 }
 
-// restoreArchive applies the archive if it is among rows.
-func (r *Runner) restoreArchive(rows []feeder.Row) {
+// restoreArchive applies the archive if it is among rows that were read in an era.
+func (r *Runner) restoreArchive(rows []feeder.Row, era uint64) {
 	for _, row := range rows {
 		if row.Key == archiveKey {
-			r.archiver.Restore(row.Value)
+			r.archiver.Restore(row.Value, era)
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -182,7 +182,7 @@
 	r.granter = granter.New(r.sharer.Home, dialPeer, r.engine, count, log, time.Now)
 	r.admitter = admitter.New(incarnation, r.sharer.Home, dialPeer, detect, count, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
-	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
+	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, deps.StoreEra, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Received: deps.Received, Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
