Write the row of an instance again in a new era of the store

An instance that started in the seconds which the store lost has no row afterwards, so that instances which start later can only learn of it from others.

Cause: an instance wrote its row once, at its start.

An instance that gets everything from a hub makes no calls to the store, and learns the era only when it does; the hub knows it.

--- a/runner/discover.go
+++ b/runner/discover.go
@@ -22,7 +22,8 @@
 }
 
 // discoverPeers writes this instance's row and reads the rows of the others,
-// shortly after the start and periodically afterwards.
+// shortly after the start and periodically afterwards. It writes its row again in a new
+// era of the store, which may have lost it.
 func (r *Runner) discoverPeers(ctx context.Context) {
 	value, err := json.Marshal(instanceRow{Zone: r.options.DataCentre, Addr: r.options.PeerAddress})
 	if err != nil {
@@ -30,16 +31,18 @@
 		return
 	}
 	written, failing := false, false
+	era := uint64(0)
 	pause := pacer.Jitter(maxDiscoveryDelay)
-	for pacer.Wait(ctx, pause) {
+	for r.awaitDiscovery(ctx, pause, era) {
 		pause = discoveryRetryDelay
-		if written && r.sharer.ReportsToHub() {
+		isStored := written && r.deps.StoreEra() == era
+		if isStored && r.sharer.ReportsToHub() {
 			pause = discoveryInterval // the hub sends the state of the other instances
 			continue
 		}
 		var writeErr error
-		if !written {
-			writeErr = r.deps.PutRow(ctx, instanceKeyPrefix+r.options.Name, value)
+		if !isStored {
+			era, writeErr = r.deps.PutRow(ctx, instanceKeyPrefix+r.options.Name, value)
 			written = writeErr == nil
 		}
 		if err := errors.Join(writeErr, r.readRows(ctx)); err != nil {
@@ -54,6 +57,20 @@
 	}
 }
 
+// awaitDiscovery waits for a pause, or for less if the store is in a newer era than a known
+// one. It returns false if ctx ends.
+func (r *Runner) awaitDiscovery(ctx context.Context, pause time.Duration, era uint64) bool {
+	for ; pause > discoveryRetryDelay; pause -= discoveryRetryDelay {
+		if era > 0 && r.deps.StoreEra() > era {
+			return pacer.Wait(ctx, pacer.Jitter(discoveryRetryDelay))
+		}
+		if !pacer.Wait(ctx, discoveryRetryDelay) {
+			return false
+		}
+	}
+	return pacer.Wait(ctx, pause)
+}
+
 // readRows reads and applies the rows of the instances and the archive.
 func (r *Runner) readRows(ctx context.Context) error {
 	era := r.deps.StoreEra()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -115,9 +115,9 @@
 	Engines func(observe func(monitor.Entry, translator.Answer, time.Time)) roller.EngineClient
 	Source  feeder.Store
 	Rows    tabler.Table
-	// PutRow writes the row of this instance, PeerRows reads the rows of all
-	// instances.
-	PutRow   func(ctx context.Context, key string, value []byte) error
+	// PutRow writes the row of this instance and returns the era of the store in which
+	// it did, PeerRows reads the rows of all instances.
+	PutRow   func(ctx context.Context, key string, value []byte) (uint64, error)
 	PeerRows func(ctx context.Context) ([]feeder.Row, error)
 	// Tables are the followed tables. The first is that of the configuration and of
 	// the announced weights.
