--- a/runner/runner.go
+++ b/runner/runner.go
@@ -115,9 +115,9 @@
 	Engines func(observe func(monitor.Entry, translator.Answer, time.Time)) roller.EngineClient
 	Source  feeder.Store
 	Rows    tabler.Table
-	// PutRow writes the row of this instance, PeerRows reads the rows of all
-	// instances.
-	PutRow   func(ctx context.Context, key string, value []byte) error
+	// PutRow writes the row of this instance and returns the era of the store in which
+	// it did, PeerRows reads the rows of all instances.
+	PutRow   func(ctx context.Context, key string, value []byte) (uint64, error)
 	PeerRows func(ctx context.Context) ([]feeder.Row, error)
 	// Tables are the followed tables. The first is that of the configuration and of
 	// the announced weights.
@@ -133,6 +133,9 @@
 	StoreNow func() (time.Time, bool)
 	// StoreLatest is the same for a time that may be ahead but never behind.
 	StoreLatest func() (time.Time, bool)
+	// StoreEra returns the newest known era of the platform's store, which rises when it
+	// comes back from a copy that lacks its last writes, 0 if unknown.
+	StoreEra func() uint64
 	// MonotonicNow returns the time of a clock that continues while the process
 	// is suspended.
 	MonotonicNow func() time.Time
@@ -182,7 +185,7 @@
 	r.granter = granter.New(r.sharer.Home, dialPeer, r.engine, count, log, time.Now)
 	r.admitter = admitter.New(incarnation, r.sharer.Home, dialPeer, detect, count, time.Now)
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
-	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, rank, options.WeightsPeriodMillis, count, log, time.Now)
+	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, deps.StoreEra, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
 		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Received: deps.Received, Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
@@ -193,7 +196,7 @@
 	holder := options.Name + "/" + options.PeerAddress + "@" + time.Now().UTC().Format(time.RFC3339Nano)
 	lease := leaser.New(deps.Rows, leaseKey, holder, options.Lease, deps.MonotonicNow, deps.StoreNow)
 	orderPause := time.Duration(options.OrderPauseMillis) * time.Millisecond
-	r.roller = roller.New(options.Name, state, r.engines(), lease, r.sharer, orderPause, count, log, deps.MonotonicNow)
+	r.roller = roller.New(options.Name, state, r.engines(), lease, deps.StoreEra, r.sharer, orderPause, count, log, deps.MonotonicNow)
 	return r, nil
 }
 
