Divide the extra retries of the product's own interface, too

Cause: the budget of an instance was never divided.

Change: as on the platform, the extra retries are divided by the number of members, which are the instances that the settings and the platform's list name and those that were heard of in the last hour. They are divided at once when an instance is discovered. The share begins 15 s after the others were reached, at once where the settings say that all instances start for the first time (first); the launcher, which starts whole deployments, sets it.

Not changed: the rate limits of workspaces, which are divided by the live instances of a data centre.

What remains: instances that start for the first time and know of no other have the whole allowance until they hear of one.

--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -37,6 +37,9 @@
 	InstanceListAddress string `json:"list"`
 	// SeedPeers are peer addresses of other instances that are contacted at start.
 	SeedPeers []string `json:"peers,omitempty"`
+	// FirstStart means that all instances start for the first time, so that no earlier
+	// process of this one has sent retries.
+	FirstStart bool `json:"first,omitempty"`
 	// OperatorKeyHash is the SHA-256 of the operator key in hexadecimal.
 	OperatorKeyHash string `json:"key,omitempty"`
 	// CallerTLS, OperatorTLS and PeerTLS are the TLS files of the listeners.
--- a/gossiper/digest.go
+++ b/gossiper/digest.go
@@ -65,6 +65,7 @@
 		next := *known
 		next.Beat, next.Leaving, next.lastSeen = uint64(beat.Count), beat.Leaving, now
 		g.members[known.Name] = &next
+		g.enroller.Hear(known.Name, known.DataCentre, 1, now)
 	}
 }
 
@@ -111,6 +112,13 @@
 		}
 	}
 	g.members[other.Name] = &member{Member: other, lastSeen: now}
+	g.enroller.Hear(other.Name, other.DataCentre, 1, now)
+	if known == nil {
+		select {
+		case g.discovered <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // fetchConfig fetches the configuration in force at the sender of digest and
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 
 	"wisteriadrum/attester"
 	"wisteriadrum/counter"
+	"wisteriadrum/enroller"
 	"wisteriadrum/follower"
 	"wisteriadrum/keeper"
 	"wisteriadrum/lister"
@@ -69,11 +70,14 @@
 	log        *zap.Logger
 	now        func() time.Time
 	changed    chan struct{}
+	discovered chan struct{}
 
 	mu        sync.Mutex
 	heartbeat uint64
 	members   map[string]*member
-	clients   map[string]*client
+	// enroller counts the instances, also those that are not live.
+	enroller *enroller.Enroller
+	clients  map[string]*client
 }
 
 // member is a known instance and the local time of its last new heartbeat.
@@ -87,8 +91,8 @@
 func New(self messenger.Member, seeds []string, board *keeper.Board, quarantine *quarantiner.Registry, follow *follower.Follower, newSlot func(*tracker.Track) uint16, dial func(address string) (net.Conn, error), count *counter.Counter, log *zap.Logger, now func() time.Time) *Gossiper {
 	return &Gossiper{
 		self: self, seeds: seeds, board: board, quarantine: quarantine, follow: follow, newSlot: newSlot, dial: dial,
-		count: count, log: log, now: now, changed: make(chan struct{}, 1),
-		members: map[string]*member{}, clients: map[string]*client{},
+		count: count, log: log, now: now, changed: make(chan struct{}, 1), discovered: make(chan struct{}, 1),
+		members: map[string]*member{}, enroller: enroller.New(self.DataCentre), clients: map[string]*client{},
 	}
 }
 
@@ -143,6 +147,18 @@
 	return live
 }
 
+// MemberCount returns the number of instances that may be running, this one included,
+// whether or not they can be reached.
+func (g *Gossiper) MemberCount() int {
+	candidates := len(g.candidateAddresses())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.enroller.Total(g.now()), 1+candidates)
+}
+
+// Discovered returns a channel that receives a value after an instance was discovered.
+func (g *Gossiper) Discovered() <-chan struct{} { return g.discovered }
+
 // SyncAll exchanges digests with every live instance and returns when each
 // exchange has succeeded or failed.
 func (g *Gossiper) SyncAll(ctx context.Context) {
--- a/instance.go
+++ b/instance.go
@@ -28,6 +28,7 @@
 	"wisteriadrum/delegator"
 	"wisteriadrum/deployer"
 	"wisteriadrum/dialer"
+	"wisteriadrum/divider"
 	"wisteriadrum/fetcher"
 	"wisteriadrum/follower"
 	"wisteriadrum/forwarder"
@@ -59,7 +60,9 @@
 	// map are removed.
 	cacheMapExpiryInterval = 10 * time.Minute
 	shareInterval          = time.Second
-	storeStopsInterval     = 5 * time.Second
+	// joinTime is the time within which all instances know one that has started.
+	joinTime           = 5 * time.Second
+	storeStopsInterval = 5 * time.Second
 )
 
 // Instance is one process of the router.
@@ -69,6 +72,8 @@
 	registry metrics.Registry
 	board    *keeper.Board
 	limits   *limiter.Limiter
+	budget   *budgeter.Budget
+	count    *counter.Counter
 	batch    *batcher.Batcher
 	claims   *claimer.Claimer
 	follow   *follower.Follower
@@ -101,6 +106,7 @@
 	now := time.Now
 	i := &Instance{settings: settings, log: log, registry: metrics.NewRegistry(), board: keeper.New(), limits: limiter.New(settings.MaxInFlight)}
 	count := counter.New(i.registry)
+	i.count = count
 	received := allotter.New(int64(settings.MaxReceivedBytes))
 	i.weigh = weigher.New(received)
 	table := tabler.New(fetcher.New(settings.TableAddress, dial, received))
@@ -129,9 +135,9 @@
 	advise := delegator.New(member, i.board, i.gossip, settings.HomeThreshold, count)
 	i.decide = decider.New(i.board, policy, ask, cacheMap, now)
 	pick := picker.New(i.board, policy, balancer.New(), ask, advise, cacheMap, quarantine, count, now, i.gossip.Broadcast)
-	budget := budgeter.New(budgeter.Default(), 1, now)
-	streams := streamer.New(i.board, endpointDialer, pick, budget, count, now)
-	services := attempter.New(endpointDialer, pick, i.claims, budget, count, now)
+	i.budget = budgeter.New(budgeter.Default(), 0, now)
+	streams := streamer.New(i.board, endpointDialer, pick, i.budget, count, now)
+	services := attempter.New(endpointDialer, pick, i.claims, i.budget, count, now)
 	i.server = server.New(i.board, i.limits, streams, services, count, now, settings.MaxBodyBytes, settings.MaxHeaderBytes)
 	i.operator = operator.New(i, i.registry, settings.OperatorKeyHash)
 	return i, nil
@@ -157,6 +163,7 @@
 	go i.tail.Run(background)
 	go i.deploy.Run(background)
 	go i.shareLimits(background)
+	go i.divideBudget(background)
 	go pacer.Repeat(background, cacheMapExpiryInterval, func(context.Context) { i.cacheMap.Expire(time.Now()) })
 	go i.storeStops(background)
 	i.log.Info("instance serving", zap.String("name", i.settings.Name), zap.String("caller", listeners.caller.Addr().String()))
@@ -182,6 +189,38 @@
 	}
 }
 
+// divideBudget divides the extra retries among all instances.
+func (i *Instance) divideBudget(ctx context.Context) {
+	divide, lastMembers, lastShare := divider.New(retryDelay(i.settings)), 0, 0.0
+	for {
+		members, live := i.gossip.MemberCount(), len(i.gossip.Members())
+		share := divide.Share(members, live, time.Now())
+		i.budget.SetShare(share)
+		i.count.Set("budget.members", members)
+		i.count.Set("budget.share-permille", int(share*1000))
+		if members != lastMembers || share != lastShare {
+			i.log.Info("extra retries divided", zap.Int("members", members), zap.Int("live", live), zap.Float64("share", share))
+		}
+		lastMembers, lastShare = members, share
+		select {
+		case <-i.gossip.Discovered():
+		case <-time.After(shareInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// retryDelay returns how long after it has reached the others an instance may use its share
+// of the extra retries: once all know it, and no retry that they or an earlier process of
+// this instance have sent from that share is in the window any more.
+func retryDelay(settings *configurer.Settings) time.Duration {
+	if settings.FirstStart {
+		return 0
+	}
+	return joinTime + time.Duration(budgeter.Default().WindowMillis)*time.Millisecond
+}
+
 // storeStops writes the planned stops to the platform whenever they differ from
 // the stored ones.
 func (i *Instance) storeStops(ctx context.Context) {
--- a/launcher/deployment.go
+++ b/launcher/deployment.go
@@ -133,7 +133,7 @@
 func (d *Deployment) AddInstance(dataCentre string) (*Instance, error) {
 	settings := &configurer.Settings{
 		Name: fmt.Sprintf("%s-%d", dataCentre, len(d.Instances)+1), DataCentre: dataCentre,
-		CallerAddress: FreeAddress(), OperatorAddress: FreeAddress(), PeerAddress: FreeAddress(), TableAddress: d.address, ObjectStoreAddress: d.address, InstanceListAddress: d.address, HomeThreshold: d.options.HomeThreshold,
+		CallerAddress: FreeAddress(), OperatorAddress: FreeAddress(), PeerAddress: FreeAddress(), TableAddress: d.address, ObjectStoreAddress: d.address, InstanceListAddress: d.address, HomeThreshold: d.options.HomeThreshold, FirstStart: true,
 	}
 	for _, instance := range d.Instances {
 		settings.SeedPeers = append(settings.SeedPeers, instance.Settings.PeerAddress)
