Check the extra retries over a whole window

TestRetryCountsUntilTheWindowHasPassed: a retry of the end of a step is counted for a whole window (until now nine tenths were certain).

--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -80,6 +80,17 @@
 	assert.Assert(t, budget.TryRetry())
 }
 
+// Guards against the extra retries of two windows within the time of one.
+func TestRetryCountsUntilTheWindowHasPassed(t *testing.T) {
+	const step = window / 100
+	now := time.Now()
+	budget := budgeter.New(budgeter.Rule{ExtraRetries: 1, WindowMillis: int(window.Milliseconds())}, 1, func() time.Time { return now })
+	now = now.Add(step - time.Millisecond)
+	assert.Assert(t, budget.TryRetry())
+	now = now.Add(window - time.Millisecond)
+	assert.Assert(t, !budget.TryRetry())
+}
+
 // Requests must not allow retries that fall into a window without them: seed
 // 12198589523180520881 of TestBudgetHoldsInEveryWindow found 18 retries for 23
 // requests.
