Keep the use by an earlier process when the lease is released

Cause: an instance that starts again takes over the lease of its earlier process. If it released it without an order of its own, the row said how long ago another instance had used the lease, not the earlier process, and the next holder didn't pause. The schedules didn't show it, since they passed the last use of the instance to Release, and the roller passes that of the process.

Change: the last use by any earlier holder is kept for the release. The schedules now pass the last use of the process.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -76,6 +76,9 @@
 	rowEra, rowVersion uint64
 	rowReadAt          time.Time
 	previousUse        time.Time
+	// earlierUse is like previousUse, but also bounds the uses by an earlier process of
+	// this instance.
+	earlierUse time.Time
 	// held is the lease that this holder acquired last.
 	held Lease
 	// attempted means that this holder has tried to acquire the lease, released
@@ -159,7 +162,8 @@
 			return Lease{}, err
 		}
 		next.Reserved = reserve && (lost || old.Reserved || !l.isEarlierProcess(old.Holder))
-		l.previousUse = l.lastUse(old, read)
+		l.previousUse = l.lastUse(old, read, old.Reserved || l.isEarlierProcess(old.Holder))
+		l.earlierUse = l.lastUse(old, read, old.Reserved)
 	}
 	next.Prior = l.priorMillis(begun)
 	l.attempted = true
@@ -227,9 +231,10 @@
 	return known && old.Until > 0 && !tableNow.Before(time.UnixMilli(old.Until).Add(l.terms.margin()))
 }
 
-// lastUse returns an upper bound of the time at which another instance last used the
-// lease in a row, by the local clock. It is zero if there was no other holder.
-func (l *Leaser) lastUse(old row, read tabler.Row) time.Time {
+// lastUse returns an upper bound of the time at which the lease in a row was last used, by
+// the local clock, or if it counts as unused, at which another instance used it before. It
+// is zero if there was no other holder.
+func (l *Leaser) lastUse(old row, read tabler.Row, unused bool) time.Time {
 	if old.Era != read.Era {
 		return l.rowReadAt.Add(l.terms.length() + l.terms.margin())
 	}
@@ -242,7 +247,7 @@
 		bound, slack = l.rowReadAt.Add(-time.Duration(old.Idle)*time.Millisecond), 0
 	}
 	until := old.Until
-	if unused := old.Reserved || l.isEarlierProcess(old.Holder); unused && old.Prior > 0 {
+	if unused && old.Prior > 0 {
 		until, slack = old.Prior, 0
 	}
 	tableNow, known := l.tableNow()
@@ -278,7 +283,7 @@
 
 // Release releases the lease permanently and reports whether this holder had
 // it. lastUse is the time of its last use, zero if there was none. From the later one of
-// it and the last use by another holder, the next holder computes PreviousUse.
+// it and the last use by an earlier holder, the next holder computes PreviousUse.
 func (l *Leaser) Release(ctx context.Context, lastUse time.Time) (bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -298,8 +303,8 @@
 	case lost || old.Holder != l.holder:
 		return false, nil
 	}
-	if lastUse.Before(l.previousUse) {
-		lastUse = l.previousUse
+	if lastUse.Before(l.earlierUse) {
+		lastUse = l.earlierUse
 	}
 	next := row{FencingToken: old.FencingToken, Count: old.Count + 1, Era: read.Era, Idle: l.now().Sub(lastUse).Milliseconds()}
 	next.Until = l.tableMillis(lastUse.Sub(begun)) // the estimate is not before the time at which the read began
--- a/leaser/lease_test.go
+++ b/leaser/lease_test.go
@@ -384,3 +384,24 @@
 	assert.Assert(t, held.Valid(used))
 	assert.Check(t, !lease.PreviousUse.Before(used), "the bound is %s before a use", used.Sub(lease.PreviousUse))
 }
+
+// Guards against a use by an earlier process that is forgotten when the next process of
+// the instance releases the lease without having used it.
+func TestReleaseAfterAnEarlierProcess(t *testing.T) {
+	now := time.UnixMilli(5000)
+	table := emulator.New(func() time.Time { return now }).Table()
+	first, _ := start(table, &now, "a@1", time.Hour, 0)
+	_, err := first.Acquire(t.Context())
+	assert.NilError(t, err)
+	now = now.Add(time.Second)
+	second, _ := start(table, &now, "a@2", 0, 0)
+	_, err = second.Acquire(t.Context())
+	assert.NilError(t, err)
+	_, err = second.Release(t.Context(), time.Time{})
+	assert.NilError(t, err)
+	now = now.Add(time.Second)
+	other, clock := start(table, &now, "b@1", time.Minute, 0)
+	lease, err := other.Acquire(t.Context())
+	assert.NilError(t, err)
+	assert.Check(t, !lease.PreviousUse.Before(clock().Add(-2*time.Second)), "the lease was used 1 to 2 s ago, not %s", clock().Sub(lease.PreviousUse))
+}
--- a/leaser/schedule_test.go
+++ b/leaser/schedule_test.go
@@ -88,6 +88,8 @@
 	done  chan func()
 	busy  bool
 	lease leaser.Lease
+	// used is when this process last used the lease.
+	used time.Time
 }
 
 func (p *process) now() time.Time { return p.model.now.Add(p.zero) }
@@ -153,7 +155,7 @@
 // begin begins an operation of a process and waits for its first call.
 func (m *model) begin(p *process, operation string) {
 	p.busy = true
-	used := m.uses[p.instance]
+	used := p.used
 	if operation == "release" {
 		p.lease = leaser.Lease{} // its holder stops before
 	}
@@ -235,7 +237,7 @@
 		}
 		holders++
 		if !p.lease.Reserved {
-			m.uses[p.instance] = m.now
+			m.uses[p.instance], p.used = m.now, m.now
 		}
 	}
 	if holders > 1 {
