Release a lease once, also if the row with the release was lost

Callers: none; the router releases once.

Cause: a leaser that had released its lease still took itself for the holder until its end. If the row with the release was lost, a second call wrote the release over the row of the new era, while another held the lease that was free since the first.

Change: the leaser no longer holds the lease once it writes the release.

Evidence: TestSecondRelease ("had is true" on the code before) passes.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -308,6 +308,7 @@
 	}
 	next := row{FencingToken: old.FencingToken, Count: old.Count + 1, Era: read.Era, Idle: l.now().Sub(lastUse).Milliseconds()}
 	next.Until = l.tableMillis(lastUse.Sub(begun)) // the estimate is not before the time at which the read began
+	l.held = Lease{}                               // another may acquire it from now on
 	_, err = l.write(ctx, next, read, l.now())
 	return err == nil, err
 }
--- a/leaser/restore_test.go
+++ b/leaser/restore_test.go
@@ -214,3 +214,22 @@
 		assert.Equal(t, next.PreviousUse, used)
 	}
 }
+
+// Guards against a second release that gives free the lease of another, after the row with
+// the first release was lost.
+func TestSecondRelease(t *testing.T) {
+	clock, table := &local{time.Unix(1000, 0)}, newStore()
+	table.keep()
+	first := clock.begin(table, "a@1")
+	clock.acquireInTime(t, first)
+	had, err := first.Release(t.Context(), clock.now())
+	assert.NilError(t, err)
+	assert.Assert(t, had)
+	_, err = clock.begin(table, "b@1").Acquire(t.Context())
+	assert.NilError(t, err)
+	table.restore(0)
+	had, err = first.Release(t.Context(), clock.now())
+	assert.NilError(t, err)
+	assert.Assert(t, !had)
+	assert.Equal(t, table.row.Version, uint64(0))
+}
