Take retries from the budget if another pool was reached twice

When a pool's endpoints are gone and endpoints of another pool get their addresses, a request was sent to up to four of them without a budget; each arrival after the first is one beyond the first of its request at that other pool.

Cause: each send that reached an endpoint of another pool made the next one free, not only the first at that pool.

Ruled out: other sends that need no budget; the first one, and those whose endpoint could not be dialled.

Change: only the first send that reached a pool is free. A second arrival at the other pool can still come without a budget, since it is not known before the send.

--- a/relayer/address.go
+++ b/relayer/address.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -28,8 +29,9 @@
 // recordTaken records that another endpoint answers at the address of an attempt's endpoint.
 func (r *Relayer) recordTaken(a *attempt, found string) {
 	other := r.deps.Registrar.Fleet().All()[found]
-	if other != nil && other.Entry().Pool != a.entry.Pool {
-		a.misdirected++ // an unknown endpoint may be a new one of the same pool
+	// An unknown endpoint may be a new one of the same pool.
+	if other != nil && other.Entry().Pool != a.entry.Pool && !slices.Contains(a.misdirected, other.Entry().Pool) {
+		a.misdirected = append(a.misdirected, other.Entry().Pool)
 	}
 	now := r.deps.Now()
 	if a.endpoint.Left(now) {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -23,10 +23,10 @@
 	// unended means that an endpoint may still work on the request and cannot learn that it
 	// was given up.
 	unended bool
-	// misdirected counts the sends that reached an endpoint known to be of another pool,
-	// which has the address now. The retry budget bounds the load on a pool, so these need
-	// none.
-	misdirected int
+	// misdirected are the other pools of which a send is known to have reached an endpoint,
+	// which has the address now. The retry budget bounds the load on a pool, so the first send
+	// to each of them needs none.
+	misdirected []string
 	// reserved is the budget in which the next send is reserved, nil if it is not.
 	reserved *budgeter.Budget
 	// lastEventID is the id of the last event that was relayed.
--- a/relayer/retry.go
+++ b/relayer/retry.go
@@ -65,8 +65,9 @@
 	return e.runs == 0 || !e.unended && e.request.Repeatable() && e.runs < e.request.Route.Attempts
 }
 
-// isRetry reports whether the next send is a retry: an earlier one has reached the pool.
-func (e *exchange) isRetry() bool { return e.sends > e.misdirected }
+// isRetry reports whether the next send is a retry: an earlier one has reached the pool, or
+// more than one another pool.
+func (e *exchange) isRetry() bool { return e.sends > len(e.misdirected) }
 
 // cancelRetry ends the reservation of a retry that is not sent.
 func (e *exchange) cancelRetry() {
