Close the connection of a small request instead of resetting it

On a link that is cut for a second or loses packets, an endpoint never learns that an attempt was given up, and works on beside the endpoint at which the request went on.

The kernel sends a reset once; it repeats the end of an ordinary close until it is acknowledged. The reset is needed only behind a body that the endpoint does not read.

Ruled out: large bodies, which still end with a reset, as TestEndpointLearnsThatItsRequestWentOn requires.

The dialer of the project's own interface still resets every call.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -138,10 +138,12 @@
 	return refusal
 }
 
-// closeConn closes the connection. If the endpoint may still work on the request, the
-// connection is reset, so that it learns of the end before the request goes on elsewhere.
+// closeConn closes the connection. If the endpoint may still work on a large request, the
+// connection is reset, so that it learns of the end before the request goes on elsewhere. The
+// end of a small one waits behind nothing, and the kernel repeats it, unlike a reset, until it
+// arrives.
 func (r *Relayer) closeConn(a *attempt, refusal *refuser.Refusal) {
-	if refusal == nil || refusal.Ran == judge.NotRun {
+	if refusal == nil || refusal.Ran == judge.NotRun || a.writeDone == nil {
 		_ = a.conn.Close()
 		return
 	}
