Close the connection of a small call instead of resetting it

A reset that is lost is not repeated, the end of an ordinary close is.

Change: only calls with a body of over 8 kB end with a reset.

--- a/dialer/abandon_test.go
+++ b/dialer/abandon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -20,37 +21,53 @@
 func TestEndpointLearnsThatACallWasGivenUp(t *testing.T) {
 	for name, answer := range map[string]string{"silent": "", "no answer": "no answer\r\n", "rest is late": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer listener.Close() //nolint:errcheck // not checked in a test
-			begun := make(chan *net.TCPConn, 1)
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				_ = conn.(*net.TCPConn).SetReadBuffer(4096)
-				if _, err := framer.ReadRequest(bufio.NewReaderSize(conn, 1024), 1<<16); err == nil {
-					_, _ = conn.Write([]byte(answer))
-					begun <- conn.(*net.TCPConn)
-				}
-			}()
-			d := dialer.New(func(address string) (net.Conn, error) { return net.Dial("tcp", address) }, time.Now, allotter.New(0))
-			call := newCall(listener.Addr().String(), "POST")
-			call.Body = make([]byte, 1<<20)
-			received, err := d.Send(call)
-			if err == nil {
-				received.Close(false)
-			} else {
-				assert.Equal(t, judge.FromError(err), judge.MayHaveRun)
-			}
-			conn := <-begun
-			defer conn.Close() //nolint:errcheck // not checked in a test
+			conn := giveUp(t, answer, 1<<20)
 			assert.Assert(t, knowsEnd(t, conn), "the endpoint does not know the end")
 		})
 	}
 }
 
+// Guards against an endpoint that goes on with a small call that was given up, since a reset
+// that is lost on the way is not repeated.
+func TestSmallCallIsNotReset(t *testing.T) {
+	conn := giveUp(t, "", 100)
+	_, err := io.Copy(io.Discard, conn)
+	assert.NilError(t, err)
+}
+
+// giveUp makes a call with a body of some bytes that is given up, and returns its connection at
+// the endpoint, which has read the head and sent answer.
+func giveUp(t *testing.T, answer string, bodyBytes int) *net.TCPConn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close() //nolint:errcheck // not checked in a test
+	begun := make(chan *net.TCPConn, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+		if _, err := framer.ReadRequest(bufio.NewReaderSize(conn, 1024), 1<<16); err == nil {
+			_, _ = conn.Write([]byte(answer))
+			begun <- conn.(*net.TCPConn)
+		}
+	}()
+	d := dialer.New(func(address string) (net.Conn, error) { return net.Dial("tcp", address) }, time.Now, allotter.New(0))
+	call := newCall(listener.Addr().String(), "POST")
+	call.Body = make([]byte, bodyBytes)
+	received, err := d.Send(call)
+	if err == nil {
+		received.Close(false)
+	} else {
+		assert.Equal(t, judge.FromError(err), judge.MayHaveRun)
+	}
+	conn := <-begun
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 // knowsEnd reports whether the end of a connection is known at this side within 400 ms, though
 // nothing is read.
 func knowsEnd(t *testing.T, conn *net.TCPConn) bool {
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -46,9 +46,12 @@
 )
 
 const (
-	loadTimeout  = time.Second
-	maxLoadBytes = 1 << 16
-	maxHeadBytes = 32 << 10 // the head of an answer
+	loadTimeout = time.Second
+	// largeBodyBytes is the size above which a body may not fit into the buffers of an
+	// endpoint that does not read it.
+	largeBodyBytes = 8 << 10
+	maxLoadBytes   = 1 << 16
+	maxHeadBytes   = 32 << 10 // the head of an answer
 	// maxWaitSeconds bounds the time for which an endpoint may want no requests.
 	maxWaitSeconds = 24 * 60 * 60
 	// reusedConnTimeout limits the wait for an answer's header on a reused
@@ -81,7 +84,7 @@
 	if err == nil {
 		return answer, nil
 	}
-	conn.Reset()
+	abandon(conn, call)
 	if conn.Reused {
 		// Other idle connections to the same endpoint may have failed as well.
 		d.pool.Drop(call.Address)
@@ -171,7 +174,7 @@
 		return nil, transportError(call, err)
 	}
 	evicted, evict := context.WithCancel(context.Background())
-	stop := context.AfterFunc(evicted, conn.Reset)
+	stop := context.AfterFunc(evicted, func() { abandon(conn, call) })
 	memory := d.received.Open(evicted, call.FirstByteDeadline, evict)
 	release := func() bool {
 		defer evict()
@@ -230,7 +233,7 @@
 		// What is left of a body that was not read to its end would precede the next answer.
 		switch isOpen := release(); {
 		case !ended:
-			conn.Reset()
+			abandon(conn, call)
 		case !isOpen || !reusable || !complete:
 			_ = conn.Close()
 		default:
@@ -240,6 +243,17 @@
 	return answer
 }
 
+// abandon closes the connection of a call on which the endpoint may still work. A reset passes
+// a large body that the endpoint does not read. The end of a small call waits behind nothing,
+// and the kernel repeats it, unlike a reset, until it arrives.
+func abandon(conn *pooler.Conn, call caller.Call) {
+	if len(call.Body) > largeBodyBytes {
+		conn.Reset()
+		return
+	}
+	_ = conn.Close()
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (r readerFunc) Read(buffer []byte) (int, error) { return r(buffer) }
