--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -22,7 +22,7 @@
 
 // outcome is what a client saw of one request.
 type outcome struct {
-	id             string
+	id, host       string
 	sentAt, doneAt time.Time
 	result         string
 	status         int
@@ -74,7 +74,7 @@
 
 // do sends a request and reads its answer. The channel can be used again if keep is true.
 func (c *channel) do(request call) (seen outcome, keep bool) {
-	seen = outcome{id: request.id, sentAt: time.Now()}
+	seen = outcome{id: request.id, host: request.host, sentAt: time.Now()}
 	defer func() { seen.doneAt = time.Now() }()
 	_ = c.conn.SetDeadline(seen.sentAt.Add(request.limit)) // reading reports it
 	if _, err := io.WriteString(c.conn, request.encode()); err != nil {
--- a/review/second/platform/instance.go
+++ b/review/second/platform/instance.go
@@ -8,6 +8,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -32,7 +34,11 @@
 	limits   limits
 	record   *record
 	logName  string
-	cmd      *exec.Cmd
+	// restarting means that it is to be started again when it has ended.
+	restarting atomic.Bool
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
 	// exited is closed when the process has ended.
 	exited chan struct{}
 }
@@ -41,6 +47,10 @@
 
 // newInstance writes the settings of an instance into folder.
 func newInstance(folder, name, ip, zone, storeAddress string, bootstrap bool, l limits, rec *record) (*instance, error) {
+	contact, drain, apply := 3000, 2000, 2000 // those of the sites
+	if !l.requireFence {
+		contact, drain, apply = 4000, 3000, 3000 // those of the demands
+	}
 	text := fmt.Sprintf(`nodeName = %q
 role = "router"
 machineClass = "front"
@@ -65,11 +75,11 @@
 maxFds = %d
 linkMbps = 1000.0
 [bounds]
-contactMs = 3000
-drainMs = 2000
+contactMs = %d
+drainMs = %d
 graceS = 8
 lossSlackMs = 200
-configApplyMs = 2000
+configApplyMs = %d
 retryRatio = 0.2
 retryWindowS = 10
 retrySlack = 52
@@ -82,7 +92,7 @@
 [platform]
 address = %q
 form = "table"
-`, name, ip, zone, peerPort, peerPort+15, bootstrap, ip, frontPort, ip, readyPort, l.memoryMb, l.maxFds, l.requireFence, storeAddress)
+`, name, ip, zone, peerPort, peerPort+15, bootstrap, ip, frontPort, ip, readyPort, l.memoryMb, l.maxFds, contact, drain, apply, l.requireFence, storeAddress)
 	settings := filepath.Join(folder, name+".toml")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -93,6 +103,8 @@
 // start starts the process with the command of the deploy file, and with the limit of
 // descriptors that the settings name.
 func (i *instance) start(command string) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	log, err := os.OpenFile(i.logName, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -118,10 +130,17 @@
 	return nil
 }
 
+// end returns the channel that is closed when the process ends that was started last.
+func (i *instance) end() <-chan struct{} {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.exited
+}
+
 // ended reports whether the process has ended.
 func (i *instance) ended() bool {
 	select {
-	case <-i.exited:
+	case <-i.end():
 		return true
 	default:
 		return false
@@ -129,17 +148,19 @@
 }
 
 func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.record.add("%s gets %s", i.name, s)
 	_ = i.cmd.Process.Signal(s) // it may have ended
 }
 
 // kill ends the process if it runs.
 func (i *instance) kill() {
-	if i.cmd == nil || i.ended() {
+	if i.ended() {
 		return
 	}
-	_ = i.cmd.Process.Kill()
-	<-i.exited
+	i.signal(syscall.SIGKILL)
+	<-i.end()
 }
 
 // probe asks whether the instance is ready, as the platform does each second.
@@ -169,7 +190,7 @@
 	for !i.ended() {
 		i.probe()
 		select {
-		case <-i.exited:
+		case <-i.end():
 		case <-time.After(time.Second):
 		}
 	}
--- a/review/second/platform/worker.go
+++ b/review/second/platform/worker.go
@@ -30,7 +30,9 @@
 // worker stands in for a server of a service.
 type worker struct {
 	id, service, zone, address string
-	slots                      int
+	// listed is the address in its row.
+	listed string
+	slots  int
 	// model is the name of its model, "" for a plain service.
 	model string
 	// work is how long a request takes, and events is the number of events of a stream.
@@ -49,8 +51,13 @@
 	runs     map[string]*run
 	order    []string
 	inFlight int
-	parts    map[string]string // the tenant whose request cached a part, by salt and part
-	leaving  chan struct{}
+	// loadTime is how long new weights take, loadingUntil when the last load ends, and taken
+	// are the orders that arrived.
+	loadTime     time.Duration
+	loadingUntil time.Time
+	taken        []arrivedOrder
+	parts        map[string]string // the tenant whose request cached a part, by salt and part
+	leaving      chan struct{}
 }
 
 func newWorker(id, service, address string, slots int, model string, work time.Duration, events int, st *store, rec *record) (*worker, error) {
@@ -59,7 +66,7 @@
 		return nil, err
 	}
 	w := &worker{
-		id: id, service: service, zone: "z1", address: address, slots: slots, model: model, work: work, events: events, store: st, record: rec,
+		id: id, service: service, zone: "z1", address: address, listed: address, slots: slots, model: model, work: work, events: events, store: st, record: rec,
 		born: time.Now().UnixMilli(), version: 1, state: "ready", runs: map[string]*run{}, parts: map[string]string{}, leaving: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
@@ -75,10 +82,10 @@
 	w.seq++
 	models := []any{}
 	if w.model != "" {
-		models = append(models, map[string]any{"name": w.model, "version": w.version, "adapters": []any{}})
+		models = append(models, map[string]any{"name": w.model, "version": w.loadedVersion(), "adapters": []any{}})
 	}
 	row := map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state, "coldRemainingMs": 0,
+		"service": w.service, "address": w.listed, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state, "coldRemainingMs": 0,
 		"stage": "prefill_decode", "models": models, "seq": w.seq, "born": w.born,
 	}
 	w.mu.Unlock()
@@ -186,7 +193,7 @@
 	id := r.Header.Get("X-Attempt-Id")
 	out.Header().Set("X-Attempt-Id", id)
 	w.mu.Lock()
-	version := w.version
+	version := w.loadedVersion()
 	w.mu.Unlock()
 	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.Itoa(version) {
 		out.Header().Set("X-Instance-Id", w.id)
@@ -239,38 +246,64 @@
 	return true
 }
 
+// arrivedOrder is an order that has arrived at a worker.
+type arrivedOrder struct {
+	holder string
+	fence  uint64
+	at     time.Time
+	status int
+}
+
+// loadedVersion returns the version of the weights that serves now. The caller holds the
+// lock.
+func (w *worker) loadedVersion() int {
+	if time.Now().Before(w.loadingUntil) {
+		return w.version - 1
+	}
+	return w.version
+}
+
 func (w *worker) report(out http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	reply(out, http.StatusOK, map[string]any{
-		"stage": "prefill_decode", "models": []any{map[string]any{"name": w.model, "version": w.version, "adapters": []any{}}},
-		"busy": false, "seq": w.orders, "queued": 0, "running": w.inFlight, "kvUsed": 0, "kvTotal": 0, "handles": 0,
+		"stage": "prefill_decode", "models": []any{map[string]any{"name": w.model, "version": w.loadedVersion(), "adapters": []any{}}},
+		"busy": time.Now().Before(w.loadingUntil), "seq": w.orders, "queued": 0, "running": w.inFlight, "kvUsed": 0, "kvTotal": 0, "handles": 0,
 	})
 }
 
 func (w *worker) takeOrder(out http.ResponseWriter, body []byte) {
+	arrivedAt := time.Now()
 	var order struct {
 		Version  int    `json:"version"`
 		Holder   string `json:"holder"`
 		Fence    uint64 `json:"fence"`
 		Expected *int   `json:"expected"`
 	}
-	if json.Unmarshal(body, &order) != nil || order.Holder == "" {
-		out.WriteHeader(http.StatusBadRequest)
-		return
-	}
+	status := http.StatusAccepted
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case order.Expected != nil && *order.Expected != w.orders:
-		out.WriteHeader(http.StatusConflict)
+	case json.Unmarshal(body, &order) != nil || order.Holder == "":
+		status = http.StatusBadRequest
+	case order.Expected != nil && *order.Expected != w.orders || arrivedAt.Before(w.loadingUntil):
+		status = http.StatusConflict
 	case order.Version == w.version:
-		out.WriteHeader(http.StatusOK)
+		status = http.StatusOK
 	default:
 		w.orders++
-		w.version, w.parts = order.Version, map[string]string{}
-		out.WriteHeader(http.StatusAccepted)
+		w.version, w.parts, w.loadingUntil = order.Version, map[string]string{}, arrivedAt.Add(w.loadTime)
 	}
+	w.taken = append(w.taken, arrivedOrder{order.Holder, order.Fence, arrivedAt, status})
+	w.record.add("%s gets an order of %s with fence %d: version %d, answered %d", w.id, order.Holder, order.Fence, order.Version, status)
+	out.WriteHeader(status)
+}
+
+// arrived returns the orders that have arrived.
+func (w *worker) arrived() []arrivedOrder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]arrivedOrder(nil), w.taken...)
 }
 
 // seal returns the mark of an answer.
