--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -22,7 +22,9 @@
 
 // outcome is what a client saw of one request.
 type outcome struct {
-	id, host       string
+	id, host string
+	// address is that of the instance.
+	address        string
 	sentAt, doneAt time.Time
 	result         string
 	status         int
