Show rows of another part of a table that count as entries

ROUTE: another writer puts complete rows with the key of a worker of another service into another part of the table of the workers, where they are no entries. Until the worker's next heartbeat bookings are sent there and run.

--- a/review/second/platform/case_entry.go
+++ b/review/second/platform/case_part.go
@@ -7,17 +7,10 @@
 	"time"
 )
 
-// runMissingFields lets another writer put an entry with fields missing in the place of that of a
-// worker, until the worker writes its own again. Such an entry names no worker.
-func runMissingFields(s *scene) (int, error) { return runEntries(s, "", false) }
-
-// runOtherPart lets another writer put an entry with the id of a worker into another part of the
-// table of the workers than the empty one, so that it names no worker.
-func runOtherPart(s *scene) (int, error) { return runEntries(s, "archive", true) }
-
-// runEntries sends bookings while another writer puts entries for a worker of another service,
-// which name the service of the bookings.
-func runEntries(s *scene, part string, complete bool) (int, error) {
+// runOtherPart lets another writer put an entry with the id of a worker of another service into
+// another part of the table of the workers than the empty one, so that it names no worker. The
+// entry names the service of the bookings.
+func runOtherPart(s *scene) (int, error) {
 	for n := range 2 {
 		if _, err := s.addWorker(fmt.Sprintf("i-o%d", n), "svc-o", 6, "", 30*time.Millisecond, 0); err != nil {
 			return couldNot, err
@@ -44,7 +37,7 @@
 	for range 5 {
 		time.Sleep(3 * time.Second)
 		if s.trouble {
-			s.putEntry(s.workers[1], part, complete)
+			s.putEntry(s.workers[1], "archive")
 		}
 	}
 	time.Sleep(3 * time.Second)
@@ -53,11 +46,10 @@
 }
 
 // putEntry writes an entry for the id of a worker into a part of the table.
-func (s *scene) putEntry(w *worker, part string, complete bool) {
+func (s *scene) putEntry(w *worker, part string) {
 	w.mu.Lock()
-	entry := map[string]any{"service": "svc-o", "address": w.address, "zone": "z1", "slots": w.slots, "state": "ready"}
-	if complete {
-		entry["version"], entry["coldRemainingMs"], entry["seq"], entry["born"] = "v1", 0, w.seq+1, w.born
+	entry := map[string]any{
+		"service": "svc-o", "address": w.address, "zone": "z1", "version": "v1", "slots": w.slots, "state": "ready", "coldRemainingMs": 0, "seq": w.seq + 1, "born": w.born,
 	}
 	w.mu.Unlock()
 	value, err := json.Marshal(entry)
--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -22,9 +22,7 @@
 
 // outcome is what a client saw of one request.
 type outcome struct {
-	id, host string
-	// address is that of the instance.
-	address        string
+	id, host       string
 	sentAt, doneAt time.Time
 	result         string
 	status         int
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -17,8 +17,6 @@
 	"isolated":        runIsolated,
 	"late-order":      runLateOrder,
 	"zone-cut":        runCut,
-	"channels":        runChannels,
-	"missing-fields":  runMissingFields,
 	"other-part":      runOtherPart,
 }
 
--- a/review/second/platform/scene.go
+++ b/review/second/platform/scene.go
@@ -92,17 +92,11 @@
 // keepSending lets a client send requests on one kept channel after another, with a pause
 // after each, until the scene stops.
 func (s *scene) keepSending(address string, pause time.Duration, request func(id string) call) {
-	s.keepSendingTo(func() string { return address }, pause, request)
-}
-
-// keepSendingTo is keepSending to the address that address returns for each channel.
-func (s *scene) keepSendingTo(address func() string, pause time.Duration, request func(id string) call) {
 	s.clients.Add(1)
 	go func() {
 		defer s.clients.Done()
 		for !s.stopped.Load() {
-			to := address()
-			c, err := connect(to)
+			c, err := connect(address)
 			if err != nil {
 				time.Sleep(100 * time.Millisecond)
 				continue
@@ -110,7 +104,6 @@
 			for keep := true; keep && !s.stopped.Load(); {
 				var seen outcome
 				seen, keep = c.do(request(s.newID()))
-				seen.address = to
 				s.note(seen)
 				if keep {
 					time.Sleep(pause)
