Show an order that arrives within leaseMs of the next holder's

If the packet with that order is lost once, it arrives 200 ms later, and the next holder orders the same worker 2.9 s after it, as the pause counts from before the order is sent.

--- a/review/second/platform/case_order.go
+++ b/review/second/platform/case_order.go
@@ -11,9 +11,9 @@
 	// bumpInterval is the interval at which versions are named.
 	bumpInterval = 3 * time.Second
 	bumps        = 28
-	// lossTime is how long packets get lost, from every second version on. Orders that arrive
-	// within thawTime after its end do not count.
-	lossTime, thawTime = 5 * time.Second, 300 * time.Millisecond
+	// lossTime is how long packets get lost, from each version on. Orders that arrive within
+	// thawTime after its end do not count.
+	lossTime, thawTime = 2500 * time.Millisecond, 300 * time.Millisecond
 	restartDelay       = 500 * time.Millisecond
 )
 
@@ -51,7 +51,7 @@
 		seen := len(w.arrived())
 		s.store.put("op", "version/"+modelName, map[string]any{"model": modelName, "version": version})
 		s.record.add("version %d is named", version)
-		if s.trouble && version%2 == 1 {
+		if s.trouble {
 			path.setLoss([]string{newest(instances)}, 0.3)
 			time.AfterFunc(lossTime, func() { path.setLoss(nil, 0) })
 		}
