--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -26,7 +26,6 @@
 	sentAt, doneAt time.Time
 	result         string
 	status         int
-	sealed         bool
 	body           string
 }
 
@@ -91,7 +90,7 @@
 	}
 	defer answer.Body.Close() //nolint:errcheck // the connection is closed by the caller
 	body, err := io.ReadAll(answer.Body)
-	seen.status, seen.sealed, seen.body = answer.StatusCode, answer.Header.Get("X-Server-Seal") != "", string(body)
+	seen.status, seen.body = answer.StatusCode, string(body)
 	if err != nil {
 		seen.result = closedMidway
 		if isTimeout(err) {
--- a/review/second/platform/store.go
+++ b/review/second/platform/store.go
@@ -65,13 +65,6 @@
 	s.apply([]storeRow{{Table: table, Key: key, Value: encoded}})
 }
 
-// remove deletes a row.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply([]storeRow{{Table: table, Key: key, Deleted: true}})
-}
-
 // apply writes rows in one transaction. The caller holds the lock.
 func (s *store) apply(rows []storeRow) {
 	s.version++
--- a/review/second/platform/worker.go
+++ b/review/second/platform/worker.go
@@ -57,7 +57,6 @@
 	loadingUntil time.Time
 	taken        []arrivedOrder
 	parts        map[string]string // the tenant whose request cached a part, by salt and part
-	leaving      chan struct{}
 }
 
 func newWorker(id, service, address string, slots int, model string, work time.Duration, events int, st *store, rec *record) (*worker, error) {
@@ -67,7 +66,7 @@
 	}
 	w := &worker{
 		id: id, service: service, zone: "z1", address: address, listed: address, slots: slots, model: model, work: work, events: events, store: st, record: rec,
-		born: time.Now().UnixMilli(), version: 1, state: "ready", runs: map[string]*run{}, parts: map[string]string{}, leaving: make(chan struct{}),
+		born: time.Now().UnixMilli(), version: 1, state: "ready", runs: map[string]*run{}, parts: map[string]string{},
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	go func() { _ = w.server.Serve(listener) }()
@@ -94,29 +93,11 @@
 
 func (w *worker) beat() {
 	for {
-		select {
-		case <-w.leaving:
-			return
-		case <-time.After(heartbeat):
-			w.register()
-		}
+		time.Sleep(heartbeat)
+		w.register()
 	}
 }
 
-// leave reports draining, serves for a time, and ends the worker as the platform says.
-func (w *worker) leave(serveFor time.Duration) {
-	w.mu.Lock()
-	w.state = "draining"
-	w.mu.Unlock()
-	close(w.leaving)
-	w.register()
-	w.record.add("%s drains", w.id)
-	time.Sleep(serveFor)
-	w.store.remove("servers", w.id)
-	_ = w.server.Close()
-	w.record.add("%s has left", w.id)
-}
-
 // begin records that a request begins to run, or returns false if the worker is full.
 func (w *worker) begin(id string, r *http.Request) bool {
 	w.mu.Lock()
