--- a/review/second/platform/case_cut.go
+++ b/review/second/platform/case_cut.go
@@ -35,7 +35,7 @@
 	s.store.put("op", "config", manifest(3, []any{first}, services, tenants))
 	var instances []*instance
 	for _, name := range []string{"front-1", "front-2"} {
-		i, err := s.addInstance(name, limits{memoryMb: 284, maxFds: 4100, requireFence: true})
+		i, err := s.addInstance(name, limits{memoryMb: 134, maxFds: 4100, requireFence: true})
 		if err != nil {
 			return couldNot, err
 		}
--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -27,6 +28,8 @@
 	result         string
 	status         int
 	body           string
+	// waits is how long the client waits as the answer tells it, up to a third of its time.
+	waits time.Duration
 }
 
 func (o outcome) String() string {
@@ -91,6 +94,9 @@
 	defer answer.Body.Close() //nolint:errcheck // the connection is closed by the caller
 	body, err := io.ReadAll(answer.Body)
 	seen.status, seen.body = answer.StatusCode, string(body)
+	if seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
+		seen.waits = min(time.Duration(seconds*float64(time.Second)), request.limit/3)
+	}
 	if err != nil {
 		seen.result = closedMidway
 		if isTimeout(err) {
--- a/review/second/platform/instance.go
+++ b/review/second/platform/instance.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,12 +33,8 @@
 	limits   limits
 	record   *record
 	logName  string
-	// restarting means that it is to be started again when it has ended.
-	restarting atomic.Bool
-
-	mu        sync.Mutex
-	cmd       *exec.Cmd
-	startedAt time.Time
+	mu       sync.Mutex
+	cmd      *exec.Cmd
 	// exited is closed when the process has ended.
 	exited chan struct{}
 }
@@ -119,7 +114,6 @@
 	if err := i.cmd.Start(); err != nil {
 		return err
 	}
-	i.startedAt = time.Now()
 	i.record.add("%s started, process %d", i.name, i.cmd.Process.Pid)
 	exited := make(chan struct{})
 	i.exited = exited
@@ -139,13 +133,6 @@
 	return i.exited
 }
 
-// started returns when the process was started last.
-func (i *instance) started() time.Time {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.startedAt
-}
-
 // ended reports whether the process has ended.
 func (i *instance) ended() bool {
 	select {
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -15,9 +15,7 @@
 var cases = map[string]func(*scene) (int, error){
 	"service-removed": runServiceRemoved,
 	"isolated":        runIsolated,
-	"late-order":      runLateOrder,
 	"zone-cut":        runCut,
-	"other-part":      runOtherPart,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/second/platform/scene.go
+++ b/review/second/platform/scene.go
@@ -106,7 +106,7 @@
 				seen, keep = c.do(request(s.newID()))
 				s.note(seen)
 				if keep {
-					time.Sleep(pause)
+					time.Sleep(max(pause, seen.waits))
 				}
 			}
 			_ = c.conn.Close()
--- a/review/second/platform/worker.go
+++ b/review/second/platform/worker.go
@@ -51,12 +51,7 @@
 	runs     map[string]*run
 	order    []string
 	inFlight int
-	// loadTime is how long new weights take, loadingUntil when the last load ends, and taken
-	// are the orders that arrived.
-	loadTime     time.Duration
-	loadingUntil time.Time
-	taken        []arrivedOrder
-	parts        map[string]string // the tenant whose request cached a part, by salt and part
+	parts    map[string]string // the tenant whose request cached a part, by salt and part
 }
 
 func newWorker(id, service, address string, slots int, model string, work time.Duration, events int, st *store, rec *record) (*worker, error) {
@@ -81,7 +76,7 @@
 	w.seq++
 	models := []any{}
 	if w.model != "" {
-		models = append(models, map[string]any{"name": w.model, "version": w.loadedVersion(), "adapters": []any{}})
+		models = append(models, map[string]any{"name": w.model, "version": w.version, "adapters": []any{}})
 	}
 	row := map[string]any{
 		"service": w.service, "address": w.listed, "zone": w.zone, "version": "v1", "slots": w.slots, "state": w.state, "coldRemainingMs": 0,
@@ -174,7 +169,7 @@
 	id := r.Header.Get("X-Attempt-Id")
 	out.Header().Set("X-Attempt-Id", id)
 	w.mu.Lock()
-	version := w.loadedVersion()
+	version := w.version
 	w.mu.Unlock()
 	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.Itoa(version) {
 		out.Header().Set("X-Instance-Id", w.id)
@@ -227,34 +222,16 @@
 	return true
 }
 
-// arrivedOrder is an order that has arrived at a worker.
-type arrivedOrder struct {
-	holder string
-	fence  uint64
-	at     time.Time
-	status int
-}
-
-// loadedVersion returns the version of the weights that serves now. The caller holds the
-// lock.
-func (w *worker) loadedVersion() int {
-	if time.Now().Before(w.loadingUntil) {
-		return w.version - 1
-	}
-	return w.version
-}
-
 func (w *worker) report(out http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	reply(out, http.StatusOK, map[string]any{
-		"stage": "prefill_decode", "models": []any{map[string]any{"name": w.model, "version": w.loadedVersion(), "adapters": []any{}}},
-		"busy": time.Now().Before(w.loadingUntil), "seq": w.orders, "queued": 0, "running": w.inFlight, "kvUsed": 0, "kvTotal": 0, "handles": 0,
+		"stage": "prefill_decode", "models": []any{map[string]any{"name": w.model, "version": w.version, "adapters": []any{}}},
+		"busy": false, "seq": w.orders, "queued": 0, "running": w.inFlight, "kvUsed": 0, "kvTotal": 0, "handles": 0,
 	})
 }
 
 func (w *worker) takeOrder(out http.ResponseWriter, body []byte) {
-	arrivedAt := time.Now()
 	var order struct {
 		Version  int    `json:"version"`
 		Holder   string `json:"holder"`
@@ -267,26 +244,18 @@
 	switch {
 	case json.Unmarshal(body, &order) != nil || order.Holder == "":
 		status = http.StatusBadRequest
-	case order.Expected != nil && *order.Expected != w.orders || arrivedAt.Before(w.loadingUntil):
+	case order.Expected != nil && *order.Expected != w.orders:
 		status = http.StatusConflict
 	case order.Version == w.version:
 		status = http.StatusOK
 	default:
 		w.orders++
-		w.version, w.parts, w.loadingUntil = order.Version, map[string]string{}, arrivedAt.Add(w.loadTime)
+		w.version, w.parts = order.Version, map[string]string{}
 	}
-	w.taken = append(w.taken, arrivedOrder{order.Holder, order.Fence, arrivedAt, status})
 	w.record.add("%s gets an order of %s with fence %d: version %d, answered %d", w.id, order.Holder, order.Fence, order.Version, status)
 	out.WriteHeader(status)
 }
 
-// arrived returns the orders that have arrived.
-func (w *worker) arrived() []arrivedOrder {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]arrivedOrder(nil), w.taken...)
-}
-
 // seal returns the mark of an answer.
 func seal() string {
 	mark := make([]byte, 12)
