Give the workspaces that are not isolated a cache without parts of those that are

Callers saw nothing of it.

The salt named the workspace of isolated ones and nothing for all others, so the others stayed where the isolated one had been.

Ruled out: an instance with the older configuration (the isolated workspace had its own salt in the same run), and a fetch from elsewhere (none is needed, and it is under the same salt).

Change: the workspaces that are not isolated share a partition whose name is a digest of the names of the isolated ones (partitioner). A request takes it from the configuration in force right before it is sent, also after a wait.

Why it works: whoever uses a part of that partition has the same isolated workspaces as its maker had, so the maker is none of them. It follows from the configuration alone, so it holds after a restart, for a second isolation, for two workspaces, for one without keys, and beside an instance that still has an older configuration.

--- a/relayer/quota.go
+++ b/relayer/quota.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriadrum/judge"
+	"wisteriadrum/pacer"
 	"wisteriadrum/refuser"
 )
 
@@ -42,7 +43,10 @@
 // refuses it if that is above its limit.
 func (r *Relayer) takeQuota(ctx context.Context, e *exchange) *refuser.Refusal {
 	waitUntil := quotaWaitUntil(e, r.deps.Now())
-	for e.request.Workspace.Quota.Limited() {
+	for {
+		if refusal := r.followRoute(e); refusal != nil || !e.request.Workspace.Quota.Limited() {
+			return refusal
+		}
 		granted, retryAt := r.deps.Quotas.Take(e.request.Workspace.Name, e.quotaCost(), e.request.Priority())
 		now := r.deps.Now()
 		if granted {
@@ -52,11 +56,10 @@
 		if retryAt.After(waitUntil) {
 			return quotaRefusal(e, retryAt)
 		}
-		if refusal := r.pause(ctx, e, retryAt.Sub(now)); refusal != nil {
-			return refusal
+		if !pacer.Wait(ctx, retryAt.Sub(now)) {
+			return endedRefusal(ctx, judge.NotRun)
 		}
 	}
-	return nil
 }
 
 // returnQuota returns the tokens of a request that has not run.
--- a/relayer/resolve.go
+++ b/relayer/resolve.go
@@ -41,13 +41,9 @@
 }
 
 // cacheSalt returns the salt that separates cached parts: by the version of the
-// weights, and by workspace if the workspace is isolated.
+// weights, and by the partition of the workspace.
 func cacheSalt(request *requester.Request, weights int) string {
-	text := "v" + strconv.Itoa(weights)
-	if request.Workspace.Isolated {
-		text += "." + request.Workspace.Name
-	}
-	return text
+	return "v" + strconv.Itoa(weights) + request.Workspace.Partition
 }
 
 // partKey returns the key under which engines cache a part.
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"time"
+
+	"wisteriadrum/partitioner"
 )
 
 // Repeatability states how a request that may have run can be repeated.
@@ -56,6 +58,8 @@
 	Name string
 	// Isolated reports that cached parts are not shared with other workspaces.
 	Isolated bool
+	// Partition is the partition of the caches that holds its parts.
+	Partition string
 	// Priority is the rank of the workspace, 0 the most urgent.
 	Priority int
 	// Quota limits what its requests use.
@@ -138,6 +142,7 @@
 	// Quotas are the limits of the workspaces that have one, by name.
 	Quotas       map[string]Quota
 	Stores       []Store
+	partitions   partitioner.Partitioner
 	routesByHost map[string][]Route
 }
 
@@ -159,6 +164,17 @@
 	return t
 }
 
+// WithIsolated returns a table with the names of the isolated workspaces, also of those that
+// have no key.
+func (t *Table) WithIsolated(names []string) *Table {
+	next := *t
+	next.partitions = partitioner.New(names)
+	return &next
+}
+
+// SharedPartition returns the partition of the caches for workspaces that are not isolated.
+func (t *Table) SharedPartition() string { return t.partitions.Shared() }
+
 // Match returns the route of host with the longest prefix of path, or false.
 func (t *Table) Match(host, path string) (Route, bool) {
 	var best Route
@@ -175,6 +191,10 @@
 // route.
 func (t *Table) Authorize(route Route, key string) (Workspace, bool) {
 	workspace, known := t.Keys[key]
+	workspace.Partition = t.partitions.Shared()
+	if workspace.Isolated {
+		workspace.Partition = t.partitions.Own(workspace.Name)
+	}
 	return workspace, known || route.Public || t.Keys == nil
 }
 
