Split the test of a configuration that changes during a wait

One function set up, changed and checked everything in nested closures. The waiting prompt is a type of its own now; the cases and the checks are the same.

--- a/relayer/follow_test.go
+++ b/relayer/follow_test.go
@@ -31,77 +31,110 @@
 	return false, time.Now().Add(20 * time.Millisecond)
 }
 
+var (
+	smallEngine = &router.Engine{Slots: 8, CapacityTokens: 10000, TokenBytes: 1000, LinkMbps: 1000}
+	poolA       = router.Pool{Name: "a", Engine: smallEngine}
+	poolB       = router.Pool{Name: "b", Engine: smallEngine}
+	plainA      = router.Pool{Name: "a"}
+)
+
+// waitingPrompt is a prompt that waits in pool a, of which engine a1 caches a part of it.
+// Engine b1 serves pool b.
+type waitingPrompt struct {
+	state *registrar.Registrar
+	owner router.Workspace
+	// prepared receives the name of the engine to which the prompt may be sent, or the code
+	// of the refusal.
+	prepared chan string
+}
+
+// newWaitingPrompt returns a prompt that may have run so many times and waits as wait makes it.
+func newWaitingPrompt(t *testing.T, wait func(*waitingPrompt), runs int) *waitingPrompt {
+	t.Helper()
+	now := time.Now()
+	w := &waitingPrompt{state: registrar.New(time.Now), owner: router.Workspace{Name: "w"}, prepared: make(chan string, 1)}
+	w.state.PutEndpoints([]monitor.Entry{
+		{Name: "a1", Address: "10.0.0.1:80", Pool: "a", Weights: map[string]int{"m": 1}},
+		{Name: "b1", Address: "10.0.0.2:80", Pool: "b", Weights: map[string]int{"m": 1}},
+	}, nil, now, now)
+	wait(w)
+	first := w.table(1, "a", poolA, poolB)
+	w.state.PutTable(first)
+	request := &requester.Request{
+		Head: &framer.Head{Target: "/"}, Host: "h", Path: "/", Model: "m", PromptTokens: 1500,
+		Parts: []requester.Part{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 500}}, ReceivedAt: now, Deadline: now.Add(8 * time.Second),
+	}
+	assert.Assert(t, relayer.Resolve(request, first) == nil)
+	w.engine("a1").AddPart(relayer.PartKey(request, 1, request.Parts[0]), 1000, true)
+	r := relayer.New(relayer.Dependencies{
+		Registrar: w.state, Detector: detector.New(), Quarantine: quarantiner.New(), Quotas: exhausted{}, FollowedSince: func() (time.Time, bool) { return now, true },
+		TakeRoom: w.takeRoom, EndClaim: ignoreEnd, Count: counter.New(metrics.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+	})
+	go func() { w.prepared <- r.Prepare(t.Context(), request, runs) }()
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, len(w.prepared), 0, "the prompt does not wait")
+	return w
+}
+
+// table returns a configuration whose only route leads to a pool. Its requests may run several
+// times by version 1.
+func (w *waitingPrompt) table(version int64, leadsTo string, pools ...router.Pool) *router.Table {
+	route := router.Route{Name: "r", Host: "h", Prefix: "/", Attempts: 2, TargetMillis: 8000, Splits: []router.Split{{Pool: leadsTo, Weight: 1}}}
+	if version == 1 {
+		route.Repeat = router.Repeatable
+	}
+	return router.New(version, []router.Route{route}, pools, nil, map[string]router.Workspace{"": w.owner}, router.Limits{})
+}
+
+func (w *waitingPrompt) engine(name string) *monitor.Monitor { return w.state.Fleet().All()[name] }
+
+// takeRoom grants room at b1 only.
+func (w *waitingPrompt) takeRoom(key uint64, _ reserver.Request) reserver.Answer {
+	if key == w.engine("b1").Key {
+		return reserver.Granted
+	}
+	return reserver.Refused
+}
+
 // Guards against a prompt that waits in the pool of an older configuration: its instance ended
 // when the pool had no engine settings any more, and where it did not, the prompt went to a
 // service that its route had left, or waited for one that nobody serves.
 func TestConfigurationChangesDuringAWait(t *testing.T) {
-	engine := &router.Engine{Slots: 8, CapacityTokens: 10000, TokenBytes: 1000, LinkMbps: 1000}
-	a, b, plain := router.Pool{Name: "a", Engine: engine}, router.Pool{Name: "b", Engine: engine}, router.Pool{Name: "a"}
-	var owner router.Workspace
-	table := func(version int64, leadsTo string, pools ...router.Pool) *router.Table {
-		route := router.Route{Name: "r", Host: "h", Prefix: "/", Attempts: 2, TargetMillis: 8000, Splits: []router.Split{{Pool: leadsTo, Weight: 1}}}
-		if version == 1 {
-			route.Repeat = router.Repeatable
-		}
-		return router.New(version, []router.Route{route}, pools, nil, map[string]router.Workspace{"": owner}, router.Limits{})
-	}
-	waits := map[string]func(state *registrar.Registrar){
-		"room": func(state *registrar.Registrar) {
-			state.Fleet().All()["a1"].Begin(monitor.Load{Requests: 9, KVTokens: 9000}, time.Now())
-		},
-		"limit": func(*registrar.Registrar) { owner.Quota = router.Quota{PerSecond: 1} },
-		"held": func(state *registrar.Registrar) {
-			state.Fleet().All()["a1"].Hear(func(said restrainer.Restrainer) restrainer.Restrainer {
+	waits := map[string]func(*waitingPrompt){
+		"room":  func(w *waitingPrompt) { w.engine("a1").Begin(monitor.Load{Requests: 9, KVTokens: 9000}, time.Now()) },
+		"limit": func(w *waitingPrompt) { w.owner.Quota = router.Quota{PerSecond: 1} },
+		"held": func(w *waitingPrompt) {
+			w.engine("a1").Hear(func(said restrainer.Restrainer) restrainer.Restrainer {
 				return said.WithWait(time.Now().Add(time.Second))
 			})
 		},
 	}
+	noRoute := router.New(2, nil, nil, nil, nil, router.Limits{})
+	type tables = []*router.Table
 	for name, c := range map[string]struct {
-		next func() []*router.Table
+		next func(*waitingPrompt) tables
 		want string
 		runs int
 	}{
-		"goes":              {func() []*router.Table { return []*router.Table{table(2, "b", b)} }, "b1", 0},
-		"stays listed":      {func() []*router.Table { return []*router.Table{table(2, "b", a, b)} }, "b1", 0},
-		"goes for good":     {func() []*router.Table { return []*router.Table{table(2, "c", b)} }, "no-endpoint", 0},
-		"without a route":   {func() []*router.Table { return []*router.Table{router.New(2, nil, nil, nil, nil, router.Limits{})} }, "no-route", 0},
-		"turns plain":       {func() []*router.Table { return []*router.Table{table(2, "b", plain, b)} }, "b1", 0},
-		"comes back":        {func() []*router.Table { return []*router.Table{table(2, "c", b), table(3, "b", a, b)} }, "b1", 0},
-		"turns plain first": {func() []*router.Table { return []*router.Table{table(2, "a", plain), table(3, "b", b)} }, "b1", 0},
-		"once only":         {func() []*router.Table { return []*router.Table{table(2, "a", a)} }, "upstream-lost", 1},
+		"goes":              {func(w *waitingPrompt) tables { return tables{w.table(2, "b", poolB)} }, "b1", 0},
+		"stays listed":      {func(w *waitingPrompt) tables { return tables{w.table(2, "b", poolA, poolB)} }, "b1", 0},
+		"goes for good":     {func(w *waitingPrompt) tables { return tables{w.table(2, "c", poolB)} }, "no-endpoint", 0},
+		"without a route":   {func(*waitingPrompt) tables { return tables{noRoute} }, "no-route", 0},
+		"turns plain":       {func(w *waitingPrompt) tables { return tables{w.table(2, "b", plainA, poolB)} }, "b1", 0},
+		"comes back":        {func(w *waitingPrompt) tables { return tables{w.table(2, "c", poolB), w.table(3, "b", poolA, poolB)} }, "b1", 0},
+		"turns plain first": {func(w *waitingPrompt) tables { return tables{w.table(2, "a", plainA), w.table(3, "b", poolB)} }, "b1", 0},
+		"once only":         {func(w *waitingPrompt) tables { return tables{w.table(2, "a", poolA)} }, "upstream-lost", 1},
 	} {
 		for kind, wait := range waits {
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					state, now := registrar.New(time.Now), time.Now()
-					owner = router.Workspace{Name: "w"}
-					state.PutEndpoints([]monitor.Entry{{Name: "a1", Address: "10.0.0.1:80", Pool: "a", Weights: map[string]int{"m": 1}}, {Name: "b1", Address: "10.0.0.2:80", Pool: "b", Weights: map[string]int{"m": 1}}}, nil, now, now)
-					wait(state)
-					first := table(1, "a", a, b)
-					state.PutTable(first)
-					request := &requester.Request{Head: &framer.Head{Target: "/"}, Host: "h", Path: "/", Model: "m", PromptTokens: 1500, Parts: []requester.Part{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 500}}, ReceivedAt: now, Deadline: now.Add(8 * time.Second)}
-					assert.Assert(t, relayer.Resolve(request, first) == nil)
-					state.Fleet().All()["a1"].AddPart(relayer.PartKey(request, 1, request.Parts[0]), 1000, true)
-					r := relayer.New(relayer.Dependencies{
-						Registrar: state, Detector: detector.New(), Quarantine: quarantiner.New(), Quotas: exhausted{}, FollowedSince: func() (time.Time, bool) { return now, true },
-						TakeRoom: func(key uint64, _ reserver.Request) reserver.Answer {
-							if key == state.Fleet().All()["a1"].Key {
-								return reserver.Refused
-							}
-							return reserver.Granted
-						},
-						EndClaim: func(uint64, uint64) {}, Count: counter.New(metrics.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
-					})
-					got := make(chan string, 1)
-					go func() { got <- r.Prepare(t.Context(), request, c.runs) }()
-					time.Sleep(300 * time.Millisecond)
-					assert.Equal(t, len(got), 0, "the request does not wait")
-					owner.Quota = router.Quota{}
+					w := newWaitingPrompt(t, wait, c.runs)
 					changedAt := time.Now()
-					for _, next := range c.next() {
-						state.PutTable(next)
+					w.owner.Quota = router.Quota{}
+					for _, next := range c.next(w) {
+						w.state.PutTable(next)
 					}
-					assert.Equal(t, <-got, c.want)
+					assert.Equal(t, <-w.prepared, c.want)
 					assert.Assert(t, time.Since(changedAt) < 150*time.Millisecond)
 				})
 			})
