--- a/review/12/platform/main.go
+++ b/review/12/platform/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"wisteriadrum/review/stand-3/platform"
@@ -21,12 +20,14 @@
 	// workers is the number of engines, back the time after which a crashed one is back.
 	workers = 6
 	back    = 2 * time.Second
-	// interval is the interval of the sound requests, sample how many are counted before
-	// and after.
+	// interval is the interval of the sound requests, sample how many are counted
+	// before and after at least.
 	interval = 500 * time.Millisecond
 	sample   = 30
-	// batch is how many requests with the part a client sends one after the other.
-	batch = 5
+	// batch is how many requests with the part a client sends one after the other, batchPause
+	// the time between.
+	batch      = 5
+	batchPause = 50 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -44,26 +45,29 @@
 		fmt.Println(err)
 		return platform.NoResult
 	}
-	before := sound(rig)
-	rig.Logf("before: %d of %d sound requests began at the first attempt", before, sample)
 	var wait sync.WaitGroup
 	ended := make(chan struct{})
+	traffic := &traffic{rig: rig}
+	wait.Go(func() { traffic.send(ended) })
+	time.Sleep(sample*interval + time.Second)
+	begun := time.Now()
 	wait.Go(func() { sendPoison(rig, ended) })
 	time.Sleep(time.Second)
-	settled := 2*platform.ContactMs*time.Millisecond + time.Second
-	rig.Logf("%d crashes; sound requests count from %s on", poison.Crashes(), settled)
-	time.Sleep(settled)
+	settled := time.Now().Add(2 * platform.ContactMs * time.Millisecond)
 	crashes := poison.Crashes()
-	after := sound(rig)
+	rig.Logf("%d crashes; sound requests count from %d ms from now on", crashes, 2*platform.ContactMs)
+	time.Sleep(time.Until(settled) + sample*interval + time.Second)
 	close(ended)
 	wait.Wait()
-	verdict := fmt.Sprintf("%d crashes; %d of %d sound requests began at the first attempt before, %d of %d later than %d ms after the last crash while requests with part %s still come; less than half as many breaks the rule", poison.Crashes(), before, sample, after, sample, 2*platform.ContactMs, poisonPart)
+	before, beforeAll := traffic.count(time.Time{}, begun)
+	after, afterAll := traffic.count(settled, time.Now())
+	verdict := fmt.Sprintf("%d crashes; %d of %d sound requests began at the first attempt before, %d of %d later than %d ms after the last crash while requests with part %s still come; less than half as often breaks the rule", poison.Crashes(), before, beforeAll, after, afterAll, 2*platform.ContactMs, poisonPart)
 	rig.Logf("%s", verdict)
 	fmt.Println(verdict)
 	switch {
-	case before < sample/2 || poison.Crashes() != crashes && crashes < 5:
+	case beforeAll < 20 || afterAll < 20 || before == 0 || poison.Crashes() != crashes && crashes < 5:
 		return platform.NoResult
-	case 2*after < before:
+	case 2*after*beforeAll < before*afterAll:
 		return platform.Broken
 	default:
 		return platform.Held
@@ -88,21 +92,54 @@
 	return rig.AwaitReady()
 }
 
-// sound sends sound requests at an interval, to the instances in turn, and returns how many
-// began at the first attempt.
-func sound(rig *platform.Rig) int {
+// traffic is the sound requests of the caller.
+type traffic struct {
+	rig  *platform.Rig
+	mu   sync.Mutex
+	sent []sound
+}
+
+// sound is a sound request: when it was sent, and whether its answer began.
+type sound struct {
+	at    time.Time
+	begun bool
+}
+
+// send sends sound requests at an interval, to the instances in turn, until ended is closed.
+func (t *traffic) send(ended <-chan struct{}) {
 	var wait sync.WaitGroup
-	var begun atomic.Int64
-	for number := range sample {
+	defer wait.Wait()
+	for number := 0; ; number++ {
+		at := time.Now()
 		wait.Go(func() {
-			if ask(rig, rig.Instances[number%len(rig.Instances)], soundPart) {
-				begun.Add(1)
-			}
+			begun := ask(t.rig, t.rig.Instances[number%len(t.rig.Instances)], soundPart)
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.sent = append(t.sent, sound{at, begun})
 		})
-		time.Sleep(interval)
+		select {
+		case <-ended:
+			return
+		case <-time.After(interval):
+		}
 	}
-	wait.Wait()
-	return int(begun.Load())
+}
+
+// count returns how many of the requests that were sent between two times began, and their
+// number.
+func (t *traffic) count(from, to time.Time) (begun, all int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, request := range t.sent {
+		if request.at.Before(from) || !request.at.Before(to) {
+			continue
+		}
+		all++
+		if request.begun {
+			begun++
+		}
+	}
+	return begun, all
 }
 
 // sendPoison sends a batch of requests with the part, each after the answer to the one before,
@@ -112,7 +149,7 @@
 		ask(rig, rig.Instances[number%len(rig.Instances)], poisonPart)
 		pause := time.Second
 		if number < batch {
-			pause = 0
+			pause = batchPause
 		}
 		select {
 		case <-ended:
--- a/review/stand-3/platform/poison.go
+++ b/review/stand-3/platform/poison.go
@@ -76,7 +76,6 @@
 		for number := 1; number <= p.EventsBefore; number++ {
 			_ = call.Event(number)
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 	p.mu.Lock()
 	p.crashes = append(p.crashes, time.Now())
--- a/review/stand-3/platform/worker.go
+++ b/review/stand-3/platform/worker.go
@@ -69,10 +69,10 @@
 	return w.rig.Store.Put("servers", w.ID, row)
 }
 
-// Crash ends the worker as the end of its process does: its channels are reset and nothing
+// Crash ends the worker as the end of its process does: its channels are closed and nothing
 // listens at its address. It starts again at the same address after a time, as a new boot.
 func (w *Worker) Crash(back time.Duration) {
-	w.end(true)
+	w.end()
 	time.AfterFunc(rowLife, func() { w.rig.Store.Remove("servers", w.ID) })
 	time.AfterFunc(back, func() {
 		next, err := w.rig.startWorker(w.Service, w.Address, w.engine, w.Run)
@@ -92,18 +92,15 @@
 	}
 	time.AfterFunc((DrainMs+300)*time.Millisecond, func() {
 		w.rig.Store.Remove("servers", w.ID)
-		w.end(false)
+		w.end()
 	})
 }
 
-func (w *Worker) end(reset bool) {
+func (w *Worker) end() {
 	_ = w.listener.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for conn := range w.conns {
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
 		_ = conn.Close()
 	}
 }
