Relay a failure without a length only if its connection was not reset before its end

Cause: the kernel reports a reset once. If the writer of the request gets it, the reader sees the end of a closed connection, which is the end of an answer without a length.

Change: completer decides by how the write of the request ended, for all statuses. Written, or interrupted by the instance after the end, or EPIPE, which Linux reports for a reset that follows the end of the answer: a failure is whole. Any other error: it is a lost connection, 502 or another endpoint. A success still needs its request written.

Why it works: each reset has one reader. If the answer's reader got it, the answer has failed; if not, the writer did, and its error says whether the end of the answer had arrived before. No time is involved.

What is lost: an endpoint that closes with unread bytes is reset by its own kernel, so a whole failure without a length looks as a part does there; 502 now.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -49,8 +49,8 @@
 	sentAt        time.Time
 	weights       int
 	writeDone     chan error
-	// writeFailed means that a request without writeDone was written only in part.
-	writeFailed bool
+	// writeErr is the error of a request without writeDone that was written only in part.
+	writeErr error
 	// marks is the evidence against the parts of the prompt when the request was
 	// sent.
 	marks []detector.Suspect
@@ -213,7 +213,7 @@
 		a.endpoint.RecordFailure(r.deps.Now())
 		return refuser.New(refuser.UpstreamLost, judge.NotRun, "write to endpoint %s: %s", a.entry.Name, err)
 	}
-	a.writeFailed = err != nil // reading the answer may not report the error
+	a.writeErr = err // reading the answer may not report it
 	return nil
 }
 
@@ -238,7 +238,7 @@
 // fullyWritten reports without blocking whether the whole request was written.
 func (a *attempt) fullyWritten() bool {
 	if a.writeDone == nil {
-		return !a.writeFailed
+		return a.writeErr == nil
 	}
 	select {
 	case err := <-a.writeDone:
@@ -307,7 +307,7 @@
 	if err == nil {
 		err = a.memory.Settle()
 	}
-	if err == nil && head.Status < 300 && !a.endedWhole(head) {
+	if err == nil && !a.endedWhole(head) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -139,9 +139,7 @@
 	if errors.Is(err, syscall.ETIMEDOUT) || a.writeDone == nil {
 		return errors.Is(err, syscall.ETIMEDOUT)
 	}
-	_ = a.conn.SetWriteDeadline(time.Unix(1, 0)) // ends a write that still waits
-	writeErr := <-a.writeDone
-	a.writeDone <- writeErr
+	writeErr := a.endWrite(0)
 	return errors.Is(writeErr, syscall.ETIMEDOUT)
 }
 
