Let framer read the heads of the answers that the HTTP library reads

Callers saw nothing of it: framer, which reads the answers to their requests, refused all of these heads before, also behind interim ones, and TestBrokenHeads keeps that. Orders and reports of engines and calls of the store were affected: an order that was answered with "X Foo: 1", "X-Foo : 1" or "\r\nHTTP/1.1 000" counted as accepted, a report or a row of the store as read, and "Transfer-Encoding : chunked" was acted on.

Cause: fasthttp trims blanks behind a name, accepts one within it, folded lines and bare line feeds, and skips blank lines before the status, for which 000 stands as 200. inspector looked at the tenth byte of an answer for the status, which is not the status behind a blank line, and not at the fields.

Change: inspector lets framer read the head of each answer, with those of interim answers, and passes its bytes on only if it was accepted. An order answered otherwise has an unknown outcome, a call of the store may have been carried out, a report was not received.

Why it works: one parser decides for all answers of outside systems, so there is no second idea of where a head begins or what its names are; the library sees only heads that framer accepts.

--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -132,3 +132,17 @@
 	_, err := fetcher.New(address, dial, allotter.New(0)).Call(ctx, "GET", "/", nil)
 	assert.Assert(t, err != nil && judge.FromError(err) == judge.MayHaveRun, "%v", err)
 }
+
+// Guards against an answer of the platform whose head is broken.
+func TestBrokenHeads(t *testing.T) {
+	for _, head := range []string{
+		"\r\nHTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Foo: 1\r\n", "HTTP/1.1 200 OK\r\nX-Foo : 1\r\n", "HTTP/1.1 200 OK\r\nX\x01Foo: 1\r\n",
+		"HTTP/1.1 200 OK\r\nX-Foo: 1\r\n 2\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", "HTTP/1.1 200 OK\nX-Foo: 1\r\n",
+	} {
+		address, _ := serve(t, head+"Content-Length: 2\r\n\r\n{}", false)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := fetcher.New(address, dial, allotter.New(0)).Call(ctx, "GET", "/", nil)
+		cancel()
+		assert.Assert(t, err != nil && judge.FromError(err) == judge.MayHaveRun, "%q: %v", head, err)
+	}
+}
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -1,31 +1,36 @@
-// Package inspector checks the status of HTTP/1.1 answers as they are read from a connection.
-// The HTTP library takes the status 000 for 200.
+// Package inspector checks the heads of HTTP/1.1 answers as they are read from a connection.
+// The HTTP library takes the status 000 for 200, and accepts names of fields that are no
+// tokens.
 package inspector
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"wisteriadrum/framer"
 )
 
 const (
-	// statusOffset is the offset of the status in an answer, after "HTTP/1.1 ".
-	statusOffset = 9
-	headEnd      = "\r\n\r\n"
+	maxHeadBytes = 32 << 10 // the head of an answer
+	// shownBytes is how much of a malformed answer an error shows.
+	shownBytes = 64
 )
 
 // Inspector is a connection on which one request is written after the answer to the one
-// before. Reading an answer whose status is below 100 fails.
+// before. Reading an answer fails if framer does not accept its head.
 type Inspector struct {
 	net.Conn
-	// offset is the offset in the answer that is being read. interim means that its status
-	// is below 200, so that another answer follows its head, and tail holds the last bytes
-	// of that head.
-	offset  int
-	interim bool
-	tail    []byte
-	err     error
+	// inspected means that the head of the answer has been read, err is why it was not
+	// accepted. unread holds what was read from the connection and not returned yet.
+	inspected bool
+	unread    []byte
+	err       error
 }
 
 // New returns an inspector of the answers on conn.
@@ -44,41 +49,43 @@
 
 // Write writes a part of a request. The next bytes that are read begin an answer.
 func (i *Inspector) Write(data []byte) (int, error) {
-	i.offset, i.interim = 0, false
+	i.inspected, i.unread = false, nil
 	return i.Conn.Write(data)
 }
 
-// Read reads a part of an answer. It returns no byte of an answer from its status on if that
-// is below 100.
+// Read reads a part of an answer. It returns at most the first byte of an answer whose head
+// is not accepted: the HTTP library does not show an error that comes before.
 func (i *Inspector) Read(buffer []byte) (int, error) {
-	if i.err != nil {
-		return 0, i.err
+	if !i.inspected && i.err == nil {
+		i.unread, i.err = i.readHead()
+		i.inspected = true
 	}
-	n, err := i.Conn.Read(buffer)
-	for index, b := range buffer[:n] {
-		if !i.accept(b) {
-			i.err = eris.Errorf("answer has a status that begins with %q", b)
-			return index, i.err
-		}
+	switch {
+	case len(i.unread) > 0:
+		n := copy(buffer, i.unread)
+		i.unread = i.unread[n:]
+		return n, nil
+	case i.err != nil:
+		return 0, i.err
+	default:
+		return i.Conn.Read(buffer)
 	}
-	return n, err
 }
 
-// accept reports whether b may be the next byte of an answer.
-func (i *Inspector) accept(b byte) bool {
-	if i.offset == statusOffset {
-		i.interim, i.tail = b == '1', nil
-		if b < '1' || b > '9' {
-			return false
-		}
-	}
-	i.offset++
-	if i.interim && i.offset > statusOffset {
-		i.tail = append(i.tail, b)
-		i.tail = i.tail[max(0, len(i.tail)-len(headEnd)):]
-		if bytes.Equal(i.tail, []byte(headEnd)) {
-			i.offset, i.interim = 0, false
-		}
+// readHead reads the head of an answer and those of the interim answers before it. It returns
+// all bytes that it has read, or the first one and an error.
+func (i *Inspector) readHead() ([]byte, error) {
+	var received bytes.Buffer
+	reader := bufio.NewReader(io.TeeReader(i.Conn, &received))
+	_, err := framer.ReadResponse(reader, maxHeadBytes, http.MethodGet, framer.Unaccounted)
+	text := received.Bytes()
+	switch {
+	case err == nil:
+		return text, nil
+	case errors.Is(err, framer.ErrMalformed), errors.Is(err, framer.ErrTooLarge), errors.Is(err, framer.ErrTransferCoding):
+		err = eris.Wrapf(err, "answer that begins with %q", text[:min(len(text), shownBytes)])
+	case errors.Is(err, io.EOF) && len(text) > 0:
+		err = io.ErrUnexpectedEOF
 	}
-	return true
+	return text[:min(len(text), 1)], err
 }
