Take a failure of an engine that was cut for a lost connection (own interface)

What callers saw: an engine on the own interface answered with a status below 500, sent a part of the body and lost the connection; the request ended as "rejected" (400) with that part as the engine's reason, and no other engine was tried.

Cause: handleErrorStatus dropped the error of the reader of the body.

Evidence: TestFailureThatIsCut fails before for a reset and for a length that is not reached: "rejected: the engine answered 404: no such".

Change: such an answer is a lost connection, after which the attempt is resumed at the engine as after a cut stream. The request may have run.

Why it works: framer reports every end that is none (a reset, a length or a last chunk that is missing), and the writer of a call has ended before its answer is read, so the reader learns of any reset. A whole failure still ends the request.

--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -212,10 +212,15 @@
 }
 
 // handleErrorStatus handles a status other than 200. A status below 500 means
-// that the request is at fault, so no other engine is tried.
+// that the request is at fault, so no other engine is tried. An answer that was cut
+// means nothing.
 func (a *attempt) handleErrorStatus(answer *answerer.Answer) (outcome, bool, error) {
-	message, _ := io.ReadAll(io.LimitReader(answer.Body, maxReasonBytes))
+	message, err := io.ReadAll(io.LimitReader(answer.Body, maxReasonBytes))
 	answer.Close(false)
+	if err != nil {
+		a.markMayHaveRun()
+		return switchEndpoint, false, refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "the answer %d of endpoint %s was cut: %s", answer.Status, a.track.Endpoint.Name, err)
+	}
 	if answer.Status >= 500 {
 		a.markMayHaveRun()
 		a.picker.RecordFailure(a.track)
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -1,6 +1,8 @@
 package streamer_test
 
 import (
+	"cmp"
+	"errors"
 	"io"
 	"os"
 	"strings"
@@ -30,6 +32,7 @@
 	"wisteriadrum/picker"
 	"wisteriadrum/quarantiner"
 	"wisteriadrum/refresher"
+	"wisteriadrum/refuser"
 	"wisteriadrum/resolver"
 	"wisteriadrum/streamer"
 )
@@ -47,9 +50,10 @@
 const chunked = -1
 
 // engine answers the first call with first, whose body goes on with rest, and the others
-// with the events that are missing.
+// with the events that are missing. status is that of the first answer, 200 if it is 0.
 type engine struct {
 	dialer.Dialer
+	status int
 	length int
 	first  string
 	rest   io.Reader
@@ -61,6 +65,7 @@
 	answer := &answerer.Answer{Status: 200, Attempt: call.Attempt, Incarnation: "i", Weights: "v1", CachedBytes: -1, QueueBytes: -1, Length: e.length}
 	answer.Body = strings.NewReader(strings.Join(events[call.ResumeAfter:], ""))
 	if e.calls == 1 {
+		answer.Status = cmp.Or(e.status, 200)
 		answer.Body = io.MultiReader(strings.NewReader(e.first), e.rest)
 	}
 	return answer, nil
@@ -125,6 +130,26 @@
 	}
 }
 
+// Guards against a part of a failure that ends a request as if it were the whole answer.
+func TestFailureThatIsCut(t *testing.T) {
+	for name, test := range map[string]struct {
+		rest  io.Reader
+		whole bool
+	}{
+		"whole": {iotest.ErrReader(io.EOF), true},
+		"reset": {iotest.ErrReader(syscall.ECONNRESET), false},
+		"cut":   {iotest.ErrReader(io.ErrUnexpectedEOF), false},
+	} {
+		e := &engine{status: 404, length: answerer.UntilClose, first: "no such", rest: test.rest}
+		streams, request := newStreamer(t, e)
+		var got collector
+		err := streams.Run(t.Context(), request, &got)
+		var refusal *refuser.Refusal
+		assert.Equal(t, errors.As(err, &refusal) && refusal.Code == refuser.Rejected, test.whole, "%s: %v", name, err)
+		assert.Equal(t, got.text == "ab", !test.whole, name)
+	}
+}
+
 // cutting is two engines. The first one sends an event on the first connection and nothing on
 // the others; it takes a while to cancel the attempt.
 type cutting struct {
