--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -146,3 +146,66 @@
 		assert.Assert(t, err != nil && judge.FromError(err) == judge.MayHaveRun, "%q: %v", head, err)
 	}
 }
+
+// Guards against a part of an answer that is taken for a whole one, since its connection was
+// lost before the request was written or after.
+func TestLostAnswers(t *testing.T) {
+	closeConn := func(conn *net.TCPConn) { _ = conn.Close() }
+	reset := func(conn *net.TCPConn) {
+		time.Sleep(3 * time.Millisecond)
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	const unframed, counted, chunked = "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+	for name, test := range map[string]struct {
+		answer string
+		upload int
+		end    func(conn *net.TCPConn)
+	}{
+		"no length, reset":           {unframed, 0, reset},
+		"no length, reset, upload":   {unframed, 4 << 20, reset},
+		"failure, reset":             {"HTTP/1.1 404 X\r\n\r\npart", 0, reset},
+		"failure, reset, upload":     {"HTTP/1.1 404 X\r\n\r\npart", 4 << 20, reset},
+		"empty, reset, upload":       {"HTTP/1.1 200 OK\r\n\r\n", 4 << 20, reset},
+		"HTTP/1.0, reset":            {"HTTP/1.0 200 OK\r\n\r\npart", 0, reset},
+		"length, closed":             {counted, 0, closeConn},
+		"length, reset":              {counted, 0, reset},
+		"chunks, closed":             {chunked, 0, closeConn},
+		"chunks, reset":              {chunked, 0, reset},
+		"chunks, closed in the last": {chunked + "0\r\n", 0, closeConn},
+		"head, closed":               {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", 0, closeConn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serveEnd(t, test.answer, test.end)
+			for range 10 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				answer, err := fetcher.New(address, dial, allotter.New(0)).Call(ctx, "POST", "/", make([]byte, test.upload))
+				cancel()
+				assert.Assert(t, err != nil && judge.FromError(err) == judge.MayHaveRun, "%v %v", answer, err)
+			}
+		})
+	}
+}
+
+// serveEnd answers the head of each request on a new listener with answer, and lets end end
+// the connection. It does not read bodies.
+func serveEnd(t *testing.T, answer string, end func(conn *net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+			if _, err := framer.ReadRequest(bufio.NewReaderSize(conn, 1024), 1<<16); err == nil {
+				_, _ = conn.Write([]byte(answer))
+			}
+			end(conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
