Refuse answers with a control byte in the value of a field

What callers saw: an answer with a field like "X-Foo: 1\x012", with that line passed on.

Cause: framer refused CR and NUL in a value, which the section calls dangerous, and kept all other control characters.

Evidence: TestBrokenHeads fails before for a control byte and for DEL in a value, 200 instead of 502 to the caller; TestResponseHeads at BEL.

The section calls all control characters but the tab invalid. It lets a recipient keep those beside NUL, CR and LF only in a safe context, one "that will not be processed by any downstream HTTP parser"; a caller has such a parser. They are not replaced by blanks either: the head comes from an endpoint in trouble, and the mark of the endpoint must not be changed.

Change: an answer with such a value is malformed, so the request is repeated where that is allowed and ends with 502 where not. Tabs and bytes from 0x80 on are valid and stay. Since inspector uses framer, orders, reports and calls of the store are checked as well.

Requests of callers stay as they are: NUL and CR are refused, other control bytes reach the endpoint.

--- a/framer/head.go
+++ b/framer/head.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -114,7 +115,20 @@
 	if err != nil || len(code) != 3 || head.Status < 100 {
 		return nil, ErrMalformed
 	}
-	return head, head.readFields(lines)
+	if err := head.readFields(lines); err != nil {
+		return nil, err
+	}
+	if slices.ContainsFunc(head.Fields, Field.hasControl) {
+		return nil, ErrMalformed
+	}
+	return head, nil
+}
+
+// hasControl reports whether the value holds a control character other than a tab, which is
+// invalid by RFC 9110, section 5.5. A recipient may keep it only where no other HTTP parser
+// reads it, and callers have one.
+func (f Field) hasControl() bool {
+	return strings.ContainsFunc(f.Value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
 }
 
 // Get returns the value of the first field with the given name, or "".
--- a/framer/head_test.go
+++ b/framer/head_test.go
@@ -75,6 +75,7 @@
 		"not modified, length":   {"HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n", "GET", 0, false},
 		"to HEAD":                {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD", 0, false},
 		"to HEAD, closing":       {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nconnection: x, Close\r\n\r\n", "HEAD", 0, true},
+		"tab and obs-text":       {"HTTP/1.1 200 OK\r\nA: b\tc \x80\xff\r\n\r\n", "GET", framer.UntilClose, false},
 		"after interim response": {"HTTP/1.1 100 Continue\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "POST", 3, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -88,6 +89,13 @@
 		"no version":     "garbage without a version\r\n\r\n",
 		"chunked in 1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"switched":       "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+		"NUL in a value": "HTTP/1.1 200 OK\r\nA: b\x00c\r\n\r\n",
+		"CR in a value":  "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n",
+		"BEL in a value": "HTTP/1.1 200 OK\r\nA: b\ac\r\n\r\n",
+		"ESC in a value": "HTTP/1.1 200 OK\r\nA: \x1b[2J\r\n\r\n",
+		"VT in a value":  "HTTP/1.1 200 OK\r\nA: \v\r\n\r\n",
+		"DEL in a value": "HTTP/1.1 200 OK\r\nA: \x7f\r\n\r\n",
+		"interim value":  "HTTP/1.1 103 X\r\nA: \a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"two framings":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
 	} {
 		_, err := framer.ReadResponse(read(text), headLimit, "GET", framer.Unaccounted)
