Take an answer without a length to a command for a broken one

What operators saw: publish, sent to a listener that answers with 200 and no length, sends a part and resets the connection while the set is still being written, printed that part and ended with status 0. place cut an answer of over 16 MB without a word.

Cause: net/http hands out the answer while the request is being written; its writer gets the reset, and the reader of the body sees the end of a closed connection.

Change: the commands read answers in one function. It requires a length or chunks, which the listeners of instances always send, and refuses an answer of over 16 MB. An answer without a length that ends in order is refused too; no instance sends one.

Why it works: an answer with a length or in chunks is whole by its own end.

--- a/cmd/wisteriadrum/place.go
+++ b/cmd/wisteriadrum/place.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -13,9 +12,6 @@
 	"wisteriadrum/locator"
 )
 
-// maxPlacementBytes limits the answer to a query.
-const maxPlacementBytes = 16 << 20
-
 type placeCmd struct {
 	Metrics   string   `required:"" help:"Address of the metrics listener of an instance on the platform."`
 	Host      string   `required:"" help:"Host of the request."`
@@ -44,7 +40,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxPlacementBytes))
+	text, err := readAnswer(response)
 	if err != nil {
 		return err
 	}
--- a/cmd/wisteriadrum/tools.go
+++ b/cmd/wisteriadrum/tools.go
@@ -6,7 +6,6 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"os"
@@ -107,7 +106,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := readAnswer(response)
 	if err != nil {
 		return err
 	}
