Refuse answers to commands with a blank in the name of a field

What operators saw: status, stop and place printed the body of an answer with "X Foo: 1" or "X-Foo : 1" in its head; with "Transfer-Encoding : chunked" they would have printed its chunks as they came.

Cause: net/http accepts a blank in or behind a name, and keeps the name as it is.

Evidence: TestBrokenAnswersToCommands fails before for both names, for status, stop and place, and held for names with a control byte, a tab or a byte above ASCII, which net/http refuses. publish failed by chance, since its file of 8 MB was not read.

Change: the commands refuse an answer with a blank in a name.

--- a/cmd/wisteriadrum/answer.go
+++ b/cmd/wisteriadrum/answer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"wisteriadrum/framer"
 )
@@ -14,6 +15,11 @@
 // send them in chunks; net/http takes a reset that only the writer of the request has seen for
 // the end of any other answer.
 func readAnswer(response *http.Response) ([]byte, error) {
+	for name := range response.Header {
+		if strings.Contains(name, " ") { // net/http refuses all other bytes that no name may have
+			return nil, fmt.Errorf("answer %s of %s has a field with the malformed name %q", response.Status, response.Request.URL.Host, name)
+		}
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, fmt.Errorf("answer %s of %s has no length", response.Status, response.Request.URL.Host)
 	}
--- a/cmd/wisteriadrum/answers_test.go
+++ b/cmd/wisteriadrum/answers_test.go
@@ -52,13 +52,18 @@
 		answer string
 		resets bool
 	}{
-		"no length, reset":  {"HTTP/1.1 200 OK\r\n\r\n{}", true},
-		"no length, closed": {"HTTP/1.1 200 OK\r\n\r\n{}", false},
-		"HTTP/1.0, reset":   {"HTTP/1.0 200 OK\r\n\r\n{}", true},
-		"length, closed":    {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", false},
-		"chunks, closed":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", false},
-		"too large":         {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n{}%s", 17<<20, strings.Repeat(" ", 17<<20-2)), false},
-		"status 000":        {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", false},
+		"no length, reset":   {"HTTP/1.1 200 OK\r\n\r\n{}", true},
+		"no length, closed":  {"HTTP/1.1 200 OK\r\n\r\n{}", false},
+		"HTTP/1.0, reset":    {"HTTP/1.0 200 OK\r\n\r\n{}", true},
+		"length, closed":     {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", false},
+		"chunks, closed":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", false},
+		"too large":          {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n{}%s", 17<<20, strings.Repeat(" ", 17<<20-2)), false},
+		"status 000":         {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", false},
+		"blank in a name":    {"HTTP/1.1 200 OK\r\nX Foo: 1\r\nContent-Length: 2\r\n\r\n{}", false},
+		"blank after a name": {"HTTP/1.1 200 OK\r\nX-Foo : 1\r\nContent-Length: 2\r\n\r\n{}", false},
+		"control byte":       {"HTTP/1.1 200 OK\r\nX\x01Foo: 1\r\nContent-Length: 2\r\n\r\n{}", false},
+		"tab in a name":      {"HTTP/1.1 200 OK\r\nX\tFoo: 1\r\nContent-Length: 2\r\n\r\n{}", false},
+		"byte above ASCII":   {"HTTP/1.1 200 OK\r\nX\xe9Foo: 1\r\nContent-Length: 2\r\n\r\n{}", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := serveBroken(t, test.answer, test.resets)
