--- a/inspector/inspector_test.go
+++ b/inspector/inspector_test.go
@@ -65,15 +65,16 @@
 func TestStatuses(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: 000\r\n\r\n"
 	check(t, map[string]bool{
-		"HTTP/1.1 200 OK\r\n\r\n000":            true,
-		"HTTP/1.0 503 X\r\n\r\n":                true,
-		interim + "HTTP/1.1 204 X\r\n\r\n":      true,
-		"HTTP/1.1 000 OK\r\n\r\n":               false,
-		"HTTP/1.1 099 OK\r\n\r\n":               false,
-		"HTTP/1.1 -20 OK\r\n\r\n":               false,
-		"\r\nHTTP/1.1 000 OK\r\n\r\n":           false,
-		interim + "HTTP/1.1 000 X\r\n\r\n":      false,
-		interim + interim + "HTTP/1.1 000 \r\n": false,
+		"HTTP/1.1 200 OK\r\n\r\n000":                     true,
+		"HTTP/1.0 503 X\r\n\r\n":                         true,
+		interim + "HTTP/1.1 204 X\r\n\r\n":               true,
+		"HTTP/1.1 000 OK\r\n\r\n":                        false,
+		"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n": false,
+		"HTTP/1.1 099 OK\r\n\r\n":                        false,
+		"HTTP/1.1 -20 OK\r\n\r\n":                        false,
+		"\r\nHTTP/1.1 000 OK\r\n\r\n":                    false,
+		interim + "HTTP/1.1 000 X\r\n\r\n":               false,
+		interim + interim + "HTTP/1.1 000 \r\n":          false,
 	})
 }
 
