--- a/cmd/wisteriadrum/answers_test.go
+++ b/cmd/wisteriadrum/answers_test.go
@@ -77,7 +77,6 @@
 					output, err := exec.Command(filepath.Join(binaries, "wisteriadrum"), arguments...).Output()
 					assert.Assert(t, err != nil, "%v", arguments)
 					assert.Equal(t, string(output), "", "%v", arguments)
-
 				}
 			}
 		})
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -1,6 +1,5 @@
 // Package inspector checks the heads of HTTP/1.1 answers as they are read from a connection.
-// The HTTP library takes the status 000 for 200, and accepts names of fields that are no
-// tokens.
+// The HTTP library takes the status 000 for 200 and accepts blanks in names of fields.
 package inspector
 
 import (
--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -212,20 +212,20 @@
 }
 
 // handleErrorStatus handles a status other than 200. A status below 500 means
-// that the request is at fault, so no other engine is tried. An answer that was cut
-// means nothing.
+// that the request is at fault, so no other engine is tried, unless the answer was
+// cut.
 func (a *attempt) handleErrorStatus(answer *answerer.Answer) (outcome, bool, error) {
 	message, err := io.ReadAll(io.LimitReader(answer.Body, maxReasonBytes))
 	answer.Close(false)
-	if err != nil {
-		a.markMayHaveRun()
-		return switchEndpoint, false, refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "the answer %d of endpoint %s was cut: %s", answer.Status, a.track.Endpoint.Name, err)
-	}
 	if answer.Status >= 500 {
 		a.markMayHaveRun()
 		a.picker.RecordFailure(a.track)
 		return switchEndpoint, true, refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "endpoint %s answered %d", a.track.Endpoint.Name, answer.Status)
 	}
+	if err != nil {
+		a.markMayHaveRun()
+		return switchEndpoint, false, refuser.New(refuser.UpstreamLost, judge.MayHaveRun, "the answer %d of endpoint %s was cut: %s", answer.Status, a.track.Endpoint.Name, err)
+	}
 	return failed, true, refuser.New(refuser.Rejected, judge.MayHaveRun, "the engine answered %d: %s", answer.Status, message)
 }
 
