Weigh crashes of a part of prompts against its answers, and try refused parts again

Cause: assess took the deepest of the parts that had reached their limits, a measure of what a wrong refusal costs, for the likeliest cause. Answers only set the level back: three crashes in 0.14 s, between two sound answers, undid 16 s of answers. A refused part was never sent again, so no answer could clear it.

Evidence: the log of both instances names the document at level 3, cleared at level 1 by a sound answer 0.14 s before; the first part was at level 4 of 5. On these fail, adapted to its signatures: TestSoundPartBehindCrashingOne (detector and platform), TestSoundPartAnsweredLater, TestAnswersOfOtherInstances, TestTrials, TestTrialWithNewWeights, TestReviewOfTrials.

Change: tallier counts the answers of parts for ten minutes, and evidence carries them between instances. A part with answers needs five crashes; the cause is a part without answers, then that with most crashes, then the deepest. A refused part is tried by one request at a time, which takes a turn: at once in a prompt without the part that may be the cause in its place, or with newer weights; else after growing delays, sooner if the refusal is doubtful. A part crashes three engines by trials at most, and is not tried after eight crashes in all. Trials are archived with the refusal.

Why it works: a part that was answered is refused only if no other part explains the crashes, and every refusal now has an event that ends it within its budget.

Tests changed: TestAnswerClears required that a part with ten answers is refused after three crashes, the fault itself; it is five now, and no fewer. TestCrashingFirstPart requires the refusal one crash earlier, since a crash that was explained by a wrong refusal counts more. TestDeepestPart asks for the prompt with all parts, as one without the rival is a trial. TestCrashingPart requires the Retry-After of the next trial, a minute, in place of ten minutes. TestMalformedNotes and FuzzNote use the new layout of suspects.

--- a/archiver/archive.go
+++ b/archiver/archive.go
@@ -34,14 +34,20 @@
 	Until  int64  `json:"until"`
 }
 
-// part is a refused part of prompts. Until is when that ends, in milliseconds by the
-// table's clock.
+// part is a refused part of prompts. Until is when that ends, and Trial when a request may
+// be sent with it again, in milliseconds by the table's clock; Trial is 0 if none may.
 type part struct {
-	Key   uint64 `json:"key"`
-	Name  string `json:"name"`
-	Epoch int    `json:"epoch"`
-	Level int    `json:"level"`
-	Until int64  `json:"until"`
+	Key     uint64 `json:"key"`
+	Name    string `json:"name"`
+	Epoch   int    `json:"epoch"`
+	Level   int    `json:"level"`
+	Until   int64  `json:"until"`
+	Answers int    `json:"answers,omitzero"`
+	Crashes int    `json:"crashes,omitzero"`
+	Trials  int    `json:"trials,omitzero"`
+	Trial   int64  `json:"trial,omitzero"`
+	Rival   uint64 `json:"rival,omitzero"`
+	Weights int    `json:"weights,omitzero"`
 }
 
 func decode(value []byte) (archive, error) {
@@ -70,7 +76,33 @@
 
 // suspect returns the evidence against a part. Its time is by the table's clock.
 func (p part) suspect() detector.Suspect {
-	return detector.Suspect{Part: p.Key, Name: p.Name, Epoch: p.Epoch, Level: p.Level, Refused: true, Until: time.UnixMilli(p.Until)}
+	s := detector.Suspect{
+		Part: p.Key, Name: p.Name, Epoch: p.Epoch, Level: p.Level, Refused: true, Until: time.UnixMilli(p.Until),
+		Answers: p.Answers, Crashes: p.Crashes, Trials: p.Trials, Rival: p.Rival, Weights: p.Weights,
+	}
+	if p.Trial != 0 {
+		s.TrialAt = time.UnixMilli(p.Trial)
+	}
+	return s
+}
+
+// newPart returns the row's form of the evidence against a refused part. Its time is by the
+// table's clock.
+func newPart(s detector.Suspect) part {
+	p := part{
+		Key: s.Part, Name: s.Name, Epoch: s.Epoch, Level: s.Level, Until: s.Until.UnixMilli(),
+		Answers: s.Answers, Crashes: s.Crashes, Trials: s.Trials, Rival: s.Rival, Weights: s.Weights,
+	}
+	if !s.TrialAt.IsZero() {
+		p.Trial = s.TrialAt.UnixMilli()
+	}
+	return p
+}
+
+// includes reports whether the row has what it is to keep of s. Trials are written again,
+// since there may be only a few of them.
+func (p part) includes(s detector.Suspect) bool {
+	return s.Epoch < p.Epoch || s.Epoch == p.Epoch && s.Trials <= p.Trials
 }
 
 // versions returns the versions by model. Their times are by the table's clock.
@@ -121,9 +153,9 @@
 	for _, s := range suspects {
 		old, ok := known[s.Part]
 		switch {
-		case ok && s.Epoch <= old.Epoch:
-		case s.Refused:
-			known[s.Part] = part{Key: s.Part, Name: s.Name, Epoch: s.Epoch, Level: s.Level, Until: s.Until.UnixMilli()}
+		case ok && old.includes(s):
+		case s.Blocked():
+			known[s.Part] = newPart(s)
 		default:
 			delete(known, s.Part)
 		}
@@ -135,7 +167,7 @@
 	changed = len(next.Parts) != len(before)
 	for _, p := range next.Parts {
 		old, ok := before[p.Key]
-		changed = changed || !ok || old.Epoch != p.Epoch
+		changed = changed || !ok || old != p
 	}
 	return next, changed
 }
--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -114,6 +114,9 @@
 func (a *Archiver) restorePart(s detector.Suspect, tableNow time.Time) {
 	now := a.now()
 	s.Until = now.Add(s.Until.Sub(tableNow)).Round(0).UTC()
+	if !s.TrialAt.IsZero() {
+		s.TrialAt = now.Add(s.TrialAt.Sub(tableNow)).Round(0).UTC()
+	}
 	if a.detector.Merge([]detector.Suspect{s}, now) {
 		a.log.Info("refused part of prompts restored", zap.String("part", s.Name), zap.Time("until", s.Until))
 	}
@@ -154,6 +157,9 @@
 	suspects := a.detector.Suspects(now)
 	for i, s := range suspects {
 		suspects[i].Until = tableNow.Add(s.Until.Sub(now))
+		if !s.TrialAt.IsZero() {
+			suspects[i].TrialAt = tableNow.Add(s.TrialAt.Sub(now))
+		}
 	}
 	return suspects
 }
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -195,6 +195,35 @@
 	})
 }
 
+// Guards against more trials of a refused part after the loss of all instances than it may
+// have in all.
+func TestTrialsSurviveAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := emulator.New(time.Now).Table()
+		first := start(t, table, 0, time.Hour)
+		trialAt := time.Now().Add(time.Minute).UTC()
+		refused := detector.Suspect{
+			Part: 7, Name: "p", Level: 5, Refused: true, Until: trialAt.Add(time.Hour),
+			Answers: 2, Crashes: 6, TrialAt: trialAt, Rival: 8, Weights: 3,
+		}
+		first.detector.Merge([]detector.Suspect{refused}, time.Now())
+		time.Sleep(time.Second)
+		refused.Trials, refused.TrialAt = 1, trialAt.Add(time.Minute)
+		first.detector.Merge([]detector.Suspect{refused}, time.Now())
+		time.Sleep(time.Second)
+		first.stop()
+		time.Sleep(time.Second)
+		second := start(t, table, 0, 0)
+		defer second.stop()
+		second.Restore(read(t, table).Value, 0)
+		found := second.detector.Refused(time.Now())
+		assert.Equal(t, len(found), 1)
+		assert.Assert(t, found[0].TrialAt.Sub(refused.TrialAt).Abs() < time.Millisecond, "the next trial is at %s", found[0].TrialAt)
+		found[0].TrialAt, found[0].Until = refused.TrialAt, refused.Until
+		assert.Equal(t, fmt.Sprint(found[0]), fmt.Sprint(refused))
+	})
+}
+
 // Guards against a malformed row that is applied, or that stays.
 func TestMalformedArchive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -4,7 +4,10 @@
 // Endpoints also end for other reasons, and requests that run there are lost with
 // them. A part is refused after a chain of crashes, each of a request that was sent
 // after the crash before was known; the beginning of an answer proves each part of
-// its prompt sound.
+// its prompt sound. Of several parts that were in the same prompts, one that endpoints have
+// not answered before is the likelier cause. A refused part is tried again by one request
+// at a time: after growing delays, with new weights, or in a prompt that has no other part
+// which may be the cause.
 package detector
 
 import (
@@ -16,24 +19,18 @@
 
 	"wisteriadrum/holder"
 	"wisteriadrum/requester"
+	"wisteriadrum/tallier"
 )
 
 const (
-	// crashLimit is the level at which a part is refused, and firstCrashLimit that of
-	// the first part of a prompt: many prompts begin with it, so it is also involved in
-	// the crashes that other parts cause, and its refusal affects more callers.
-	crashLimit      = 3
-	firstCrashLimit = 5
-	// explainedLevel and firstExplainedLevel are the levels to which the other parts of
-	// a prompt return when one is refused. They are above 0 since each part may be the
-	// cause in the place of the refused one, in other prompts.
-	explainedLevel      = 1
-	firstExplainedLevel = 2
-	// retention is how long evidence is kept after the last crash.
+	// retention is how long evidence is kept after the last crash, and answers after the
+	// last one.
 	retention = 10 * time.Minute
-	// maxSuspects bounds the parts that are kept, and maxPartsPerPrompt those that
-	// are considered of one prompt, so that no caller fills the memory.
+	// maxSuspects bounds the parts that are kept, maxAnswered those whose answers are
+	// counted, and maxPartsPerPrompt those that are considered of one prompt, so that no
+	// caller fills the memory.
 	maxSuspects       = 1024
+	maxAnswered       = 16 << 10
 	maxPartsPerPrompt = 32
 )
 
@@ -43,10 +40,13 @@
 // Detector holds the evidence known to this instance.
 type Detector struct {
 	suspects holder.Value[record]
+	// answers counts the answers that began at this instance.
+	answers *tallier.Tallier[uint64]
+	losses  holder.Value[history]
 }
 
 // New returns a detector without evidence.
-func New() *Detector { return &Detector{} }
+func New() *Detector { return &Detector{answers: tallier.New[uint64](maxAnswered, retention)} }
 
 // Marks returns the evidence against the parts of a prompt that is about to be
 // sent, for RecordCrash, or nil if there is none.
@@ -62,22 +62,27 @@
 	return marks
 }
 
-// RecordCrash records that an endpoint crashed before it began to answer a request
-// that was sent with marks. It returns the evidence that changed, and the part that
-// is refused from now on if found is true.
-func (d *Detector) RecordCrash(request *requester.Request, marks []Suspect, now time.Time) (changed []Suspect, refused Suspect, found bool) {
-	if len(marks) == 0 {
-		marks = parts(request)
+// RecordCrash records the crash of an endpoint, which is evidence against the parts of the
+// prompt if the request had been sent and its answer had not begun. It returns the evidence
+// that changed, and the part that is refused from now on if found is true.
+func (d *Detector) RecordCrash(crash Crash, now time.Time) (changed []Suspect, refused Suspect, found bool) {
+	if len(crash.Marks) == 0 {
+		crash.Marks = parts(crash.Request)
+	}
+	d.losses.Update(func(old history) history { return old.with(crash.Endpoint, crash.Marks, now) })
+	if crash.Begun {
+		return nil, Suspect{}, false
 	}
 	d.suspects.Update(func(old record) record {
-		current := make([]Suspect, len(marks))
-		for i, mark := range marks {
-			current[i] = old.find(mark, now)
+		known, current := make([]Suspect, len(crash.Marks)), make([]Suspect, len(crash.Marks))
+		for i, mark := range crash.Marks {
+			known[i] = old.find(mark, now)
+			current[i] = known[i].withAnswers(d.answers.Count(mark.Part, now))
 		}
 		var next []Suspect
-		next, refused, found = assess(current, marks, now)
+		next, refused, found = old.assess(current, crash, d.losses.Load(), now)
 		for i := range next {
-			if !equal(next[i], current[i]) {
+			if next[i].suspected() && !equal(next[i], known[i]) {
 				changed = append(changed, next[i])
 			}
 		}
@@ -86,60 +91,21 @@
 	return changed, refused, found
 }
 
-// assess returns the evidence against the parts of a prompt after a crash, and the
-// part that is refused from now on if found is true. Of the parts that reached their
-// limits it is that with the highest level, of several the deepest. A crash that a
-// refused part explains proves nothing against the others, and a part that was refused
-// for the crashes of a deeper one is not refused any more.
-func assess(current, marks []Suspect, now time.Time) (next []Suspect, refused Suspect, found bool) {
-	next = make([]Suspect, len(current))
-	cause := -1
-	for i := range current {
-		next[i] = merge(current[i], marks[i].withCrash(now))
-		limit, _ := levels(i)
-		reached := next[i].Refused || next[i].Level >= limit
-		if reached && (cause < 0 || next[i].Level >= next[cause].Level) {
-			cause = i
-		}
-	}
-	if cause < 0 {
-		return next, Suspect{}, false
-	}
-	if current[cause].Refused {
-		known := next[cause]
-		copy(next, current)
-		next[cause] = known
-		return next, Suspect{}, false
-	}
-	for i := range next {
-		if _, explained := levels(i); i != cause && next[i].Level > explained {
-			next[i] = next[i].withLevel(explained, now)
-		}
-	}
-	next[cause] = next[cause].withRefusal()
-	return next, next[cause], true
-}
-
-// levels returns the level at which the part at an index of a prompt is refused, and
-// the one to which it returns when another part of the prompt is.
-func levels(index int) (refused, explained int) {
-	if index == 0 {
-		return firstCrashLimit, firstExplainedLevel
-	}
-	return crashLimit, explainedLevel
-}
-
 // RecordAnswer records that the answer to a request began, which proves the parts of
 // its prompt sound. It returns the evidence that is void now, and what replaces it.
 func (d *Detector) RecordAnswer(request *requester.Request, now time.Time) (void, cleared []Suspect) {
-	if !d.suspects.Load().suspectsAny(request, now) {
+	prompt := parts(request)
+	for _, part := range prompt {
+		d.answers.Add(part.Part, now)
+	}
+	if !d.suspects.Load().suspectsAny(prompt, now) {
 		return nil, nil
 	}
 	d.suspects.Update(func(old record) record {
-		for _, part := range parts(request) {
+		for _, part := range prompt {
 			if current := old.find(part, now); current.suspected() {
 				void = append(void, current)
-				cleared = append(cleared, current.withLevel(0, now))
+				cleared = append(cleared, current.withoutCrashes(now).withAnswers(d.answers.Count(part.Part, now)))
 			}
 		}
 		return old.with(cleared, now)
@@ -147,35 +113,48 @@
 	return void, cleared
 }
 
-// Find returns the refused part of a prompt and whether there is one. The deepest
-// part is returned if there are several.
-func (d *Detector) Find(request *requester.Request, now time.Time) (Suspect, bool) {
-	known := d.suspects.Load()
-	if len(known) == 0 {
-		return Suspect{}, false
-	}
-	for _, part := range slices.Backward(parts(request)) {
-		if suspect := known.find(part, now); suspect.Refused {
-			return suspect, true
+// Find returns the refused part of a prompt that may not be tried now, with the time when
+// such a prompt may be, and whether there is one. The deepest part is returned if there are
+// several. required is the oldest version of the model's weights that the request may run
+// with.
+func (d *Detector) Find(request *requester.Request, required int, now time.Time) (Suspect, bool) {
+	known, marks := d.suspects.Load(), d.Marks(request, now)
+	for _, suspect := range slices.Backward(marks) {
+		trialAt := known.trialTime(suspect, marks, required)
+		if suspect.Blocked() && now.Before(trialAt) {
+			return suspect.withTrialAt(trialAt), true
 		}
 	}
 	return Suspect{}, false
 }
 
-// Merge adds evidence from other instances and reports whether any was new.
+// Merge adds evidence from other instances and reports whether any was new. Answers that
+// began at this instance are added to evidence that lacks them.
 func (d *Detector) Merge(suspects []Suspect, now time.Time) bool {
 	if !d.suspects.Load().addsAny(suspects, now) {
 		return false
 	}
 	added := false
 	d.suspects.Update(func(old record) record {
-		next := old.with(suspects, now)
+		next := old.with(d.withAnswers(suspects, now), now)
 		added = slices.ContainsFunc(suspects, func(s Suspect) bool { return !equal(old.find(s, now), next.find(s, now)) })
 		return next
 	})
 	return added
 }
 
+// withAnswers returns suspects with the answers that began at this instance, if they have
+// none.
+func (d *Detector) withAnswers(suspects []Suspect, now time.Time) []Suspect {
+	list := slices.Clone(suspects)
+	for i, s := range list {
+		if s.Answers == 0 && s.suspected() {
+			list[i] = s.withAnswers(d.answers.Count(s.Part, now))
+		}
+	}
+	return list
+}
+
 // Suspects returns the evidence that has not expired at now, that which became void
 // included, since it must stay so.
 func (d *Detector) Suspects(now time.Time) []Suspect {
@@ -190,7 +169,7 @@
 
 // Refused returns the parts that are refused at now.
 func (d *Detector) Refused(now time.Time) []Suspect {
-	return slices.DeleteFunc(d.Suspects(now), func(s Suspect) bool { return !s.Refused })
+	return slices.DeleteFunc(d.Suspects(now), func(s Suspect) bool { return !s.Blocked() })
 }
 
 // parts returns the parts of a prompt that other prompts may contain, without
@@ -234,11 +213,8 @@
 }
 
 // suspectsAny reports whether there is evidence against a part of a prompt.
-func (r record) suspectsAny(request *requester.Request, now time.Time) bool {
-	if len(r) == 0 {
-		return false
-	}
-	return slices.ContainsFunc(parts(request), func(part Suspect) bool { return r.find(part, now).suspected() })
+func (r record) suspectsAny(prompt []Suspect, now time.Time) bool {
+	return len(r) > 0 && slices.ContainsFunc(prompt, func(part Suspect) bool { return r.find(part, now).suspected() })
 }
 
 // addsAny reports whether any of suspects is new.
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -32,12 +33,12 @@
 // recordCrash records that the endpoint crashed while it ran the attempt. The crash
 // is no evidence against the prompt if this endpoint had begun to answer, or another one
 // before.
-func (r *Relayer) recordCrash(a *attempt, now time.Time) {
+func (r *Relayer) recordCrash(a *attempt, crash quarantiner.Crash, now time.Time) {
 	a.loss = &loss{crashed: true, begun: a.begun}
-	if a.begun || a.lastEventID != "" {
-		return
-	}
-	changed, refused, found := r.deps.Detector.RecordCrash(a.request, a.marks, now)
+	changed, refused, found := r.deps.Detector.RecordCrash(detector.Crash{
+		Request: a.request, Marks: a.marks, Endpoint: crash.Endpoint + "@" + crash.Incarnation,
+		Weights: max(a.weights, r.oldestWeights(a.request)), Begun: a.begun || a.lastEventID != "",
+	}, now)
 	a.loss.suspects = changed
 	if len(changed) == 0 {
 		return
@@ -47,6 +48,13 @@
 	if found {
 		r.deps.Count.Add("quarantine", "parts")
 		r.deps.Log.Warn("part of prompts refused", a.partFields(refused)...)
+		return
+	}
+	for _, part := range changed {
+		if part.Blocked() && slices.ContainsFunc(a.marks, func(mark detector.Suspect) bool { return mark.Part == part.Part && mark.Trials < part.Trials }) {
+			r.deps.Count.Add("quarantine", "trials")
+			r.deps.Log.Warn("trial of a refused part of prompts failed", a.partFields(part)...)
+		}
 	}
 }
 
@@ -79,6 +87,7 @@
 func (a *attempt) partFields(part detector.Suspect) []zap.Field {
 	return []zap.Field{
 		zap.String("part", part.Name), zap.Int("level", part.Level), zap.Bool("refused", part.Refused), zap.Time("until", part.Until),
+		zap.Int("answers", part.Answers), zap.Int("trials", part.Trials), zap.Time("trial_at", part.TrialAt),
 		zap.String("request", a.request.ID), zap.String("workspace", a.request.Workspace.Name), zap.String("model", a.request.Model), zap.String("endpoint", a.entry.Name),
 	}
 }
@@ -173,7 +182,7 @@
 	r.recordDialFailure(a.endpoint, dialErr)
 	crash := quarantiner.Crash{Endpoint: a.entry.Name, Incarnation: strconv.FormatInt(a.entry.Incarnation, 10)}
 	r.deps.AnnounceCrash(r.deps.Quarantine.RecordCrash(a.request.Fingerprint, crash, now))
-	r.recordCrash(a, now)
+	r.recordCrash(a, crash, now)
 }
 
 // redial opens a new connection to an endpoint, which is kept for reuse. After a lost
--- a/relayer/turn.go
+++ b/relayer/turn.go
@@ -81,7 +81,7 @@
 	if e.answer.Begun() || e.lastEventID != "" {
 		return nil, false
 	}
-	probations := r.deps.Detector.Probations(e.request, now)
+	probations := r.deps.Detector.Probations(e.request, r.oldestWeights(e.request), now)
 	missing := slices.ContainsFunc(probations, func(p detector.Probation) bool { return !e.turn.covers(p) })
 	return probations, missing
 }
@@ -101,9 +101,9 @@
 
 // refusePart refuses a prompt with a part that crashes endpoints.
 func (r *Relayer) refusePart(e *exchange, now time.Time) *refuser.Refusal {
-	part, found := r.deps.Detector.Find(e.request, now)
+	part, found := r.deps.Detector.Find(e.request, r.oldestWeights(e.request), now)
 	if !found {
 		return nil
 	}
-	return refuser.New(refuser.PartQuarantined, judge.NotRun, "part %q of the prompt crashed endpoints %d times in succession", part.Name, part.Level).WithRetryAt(part.Until)
+	return refuser.New(refuser.PartQuarantined, judge.NotRun, "part %q of the prompt crashed endpoints %d times in succession", part.Name, part.Level).WithRetryAt(part.TrialAt.Add(rand.N(retrySpread)))
 }
--- a/relayer/weights.go
+++ b/relayer/weights.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriadrum/pacer"
+	"wisteriadrum/requester"
 )
 
 // closeDelay is the time for an endpoint to learn that a connection was closed.
@@ -19,6 +20,16 @@
 	return version, versions.Binding(version, since, fromStart, r.deps.Now().Add(after-r.deps.WeightsPeriod))
 }
 
+// oldestWeights returns the oldest version of the model's weights on which a request may
+// start now, 0 if any may be used.
+func (r *Relayer) oldestWeights(request *requester.Request) int {
+	if request.Model == "" {
+		return 0
+	}
+	required, _ := r.requiredWeights(request.Model, 0)
+	return required
+}
+
 // limitWait ends the attempt if its endpoint has not begun to answer when its weights go
 // out of use: a request that was sent in time may wait at the endpoint for longer. Only a
 // stream shows whether it has begun. The returned function ends the limit.
