Make the crashes of a request void by a complete answer

What callers saw: a request that comes again with the same caller, path and body is refused for ten minutes once engines have ended twice while they ran it, whatever answers it got between. TestAnswersBetweenCrashes of platform on: the third request that is sent after two pairs of a loss and an answer gets 503.

Change: a complete answer moves the case of its request into a new epoch without crashes, which instances learn like crashes. The beginning of a stream does not: a request may crash each engine after its first event.

Why it works: a request that crashes all engines is never answered completely, so the bound of two crashes stays; TestCrashing* of platform and launcher are unchanged. TestAnswersBetweenCrashes of quarantiner fails without the new epoch.

--- a/quarantiner/registry.go
+++ b/quarantiner/registry.go
@@ -1,5 +1,5 @@
 // Package quarantiner records requests that crashed the endpoints running them,
-// and refuses them after the second crash.
+// and refuses them after the second crash without a complete answer between.
 package quarantiner
 
 import (
@@ -23,11 +23,13 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// Case is a request with the crashes it was involved in. It expires at Until.
+// Case is a request with the crashes it was involved in. It expires at Until. Epoch counts
+// how often an answer made the crashes void; those of an older epoch do not count.
 type Case struct {
 	Fingerprint uint64    `json:"print"`
 	Losses      []Crash   `json:"losses"`
 	Until       time.Time `json:"until"`
+	Epoch       int       `json:"epoch"`
 }
 
 // Registry holds the cases known to this instance.
@@ -52,10 +54,23 @@
 // RecordCrash records that crash happened while the endpoint ran the request,
 // and returns the request's case.
 func (r *Registry) RecordCrash(fingerprint uint64, crash Crash, now time.Time) Case {
-	r.Merge([]Case{{Fingerprint: fingerprint, Losses: []Crash{crash}, Until: now.Add(retention)}}, now)
+	epoch := r.cases.Load()[fingerprint].Epoch
+	r.Merge([]Case{{Fingerprint: fingerprint, Losses: []Crash{crash}, Until: now.Add(retention), Epoch: epoch}}, now)
 	return r.cases.Load()[fingerprint]
 }
 
+// RecordAnswer records that a request was answered completely, which makes its crashes
+// void: endpoints also end for other reasons. It returns the case of the request, and
+// whether that changed.
+func (r *Registry) RecordAnswer(fingerprint uint64, now time.Time) (cleared Case, changed bool) {
+	known, ok := r.Find(fingerprint, now)
+	if !ok {
+		return known, false
+	}
+	r.Merge([]Case{{Fingerprint: fingerprint, Until: now.Add(retention), Epoch: known.Epoch + 1}}, now)
+	return r.cases.Load()[fingerprint], true
+}
+
 // Merge adds cases from other instances and reports whether any contained new
 // information.
 func (r *Registry) Merge(cases []Case, now time.Time) bool {
@@ -93,7 +108,7 @@
 // crashes it is merely a suspect.
 func (r *Registry) Find(fingerprint uint64, now time.Time) (Case, bool) {
 	known, ok := r.cases.Load()[fingerprint]
-	return known, ok && known.Until.After(now)
+	return known, ok && known.Until.After(now) && len(known.Losses) > 0
 }
 
 // Refused reports whether the request of c must not run.
@@ -105,16 +120,23 @@
 	for _, other := range cases {
 		old, ok := known[other.Fingerprint]
 		merged := mergeCases(old, other)
-		if other.Until.After(now) && (!ok || len(merged.Losses) > len(old.Losses) || merged.Until.After(old.Until)) {
+		if other.Until.After(now) && (!ok || merged.Epoch > old.Epoch || len(merged.Losses) > len(old.Losses) || merged.Until.After(old.Until)) {
 			return true
 		}
 	}
 	return false
 }
 
-// mergeCases returns the case with the crashes of both and the later expiry.
+// mergeCases returns the case of the newer epoch, and within an epoch that with the crashes
+// of both and the later expiry.
 func mergeCases(a, b Case) Case {
-	merged := Case{Fingerprint: b.Fingerprint, Losses: append([]Crash(nil), a.Losses...), Until: a.Until}
+	switch {
+	case a.Epoch > b.Epoch:
+		return a
+	case a.Epoch < b.Epoch:
+		return b
+	}
+	merged := Case{Fingerprint: b.Fingerprint, Losses: append([]Crash(nil), a.Losses...), Until: a.Until, Epoch: a.Epoch}
 	for _, crash := range b.Losses {
 		if !contains(merged.Losses, crash) {
 			merged.Losses = append(merged.Losses, crash)
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// clearRequest makes the crashes void that an answered request was involved in.
+func (r *Relayer) clearRequest(e *exchange) {
+	if cleared, changed := r.deps.Quarantine.RecordAnswer(e.request.Fingerprint, r.deps.Now()); changed {
+		r.deps.Count.Add("quarantine", "answered")
+		r.deps.AnnounceCrash(cleared)
+	}
+}
+
 // partFields returns the log fields of an event about a part of the prompt.
 func (a *attempt) partFields(part detector.Suspect) []zap.Field {
 	return []zap.Field{
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -211,6 +211,9 @@
 	ctx, release := r.withAbort(ctx)
 	defer release()
 	refusal := r.relay(ctx, e)
+	if refusal == nil {
+		r.clearRequest(e)
+	}
 	r.recordEnd(e, refusal)
 	return refusal
 }
