Close expired idle connections, and retry failed accepts of all servers

Cause: the pool examined idle connections only when a request went to the same address, and none goes to the address of a worker that has left; and the server of the readiness probe, which finds no descriptor, ended the process.

TestExpiredConnectionsAreClosed could not be written before: nothing closed them.

Change: the pool closes expired connections every 5 s, and all to an address whose oldest idle one has failed. listener retries an accept that failed, for the probe and the metrics as the servers of callers and peers did.

Why it works: a connection to an address without requests is closed 25 s after its last use at most, 5 s after its endpoint closed it.

--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -3,14 +3,19 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
+
+	"wisteriadrum/pacer"
 )
 
 const (
 	maxIdlePerAddress = 32
 	idleTimeout       = 20 * time.Second
+	expiryInterval    = 5 * time.Second
 	readBufferBytes   = 4096
 )
 
@@ -38,6 +43,7 @@
 	dial func(address string) (net.Conn, error)
 	now  func() time.Time
 	mu   sync.Mutex
+	// idle has no empty lists.
 	idle map[string][]*Conn
 }
 
@@ -89,6 +95,35 @@
 	}
 }
 
+// CloseExpired closes the idle connections that are not to be reused any more, and all to an
+// address if the one that was idle longest has failed. No request may go there again.
+func (p *Pool) CloseExpired() {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conns := range p.idle {
+		hasFailed := !alive(conns[0].Conn)
+		kept := slices.DeleteFunc(conns, func(conn *Conn) bool {
+			isExpired := hasFailed || conn.closeBy.Before(now)
+			if isExpired {
+				_ = conn.Close()
+			}
+			return isExpired
+		})
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// Run closes expired connections until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	for pacer.Wait(ctx, expiryInterval) {
+		p.CloseExpired()
+	}
+}
+
 // takeIdle returns the most recently used connection to address, or nil. If that
 // one has expired or failed, it closes all idle connections to address.
 func (p *Pool) takeIdle(address string) *Conn {
@@ -107,5 +142,8 @@
 		return nil
 	}
 	p.idle[address] = conns[:len(conns)-1]
+	if len(p.idle[address]) == 0 {
+		delete(p.idle, address)
+	}
 	return last
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,6 +32,7 @@
 	"wisteriadrum/granter"
 	"wisteriadrum/informer"
 	"wisteriadrum/leaser"
+	"wisteriadrum/listener"
 	"wisteriadrum/monitor"
 	"wisteriadrum/muter"
 	"wisteriadrum/permitter"
@@ -172,6 +173,7 @@
 	feeders    []*feeder.Feeder
 	packetConn net.PacketConn
 	divider    *divider.Divider
+	pool       *pooler.Pool
 	// joined means that all others counted this instance when it, or an earlier process of
 	// it, reached them.
 	joined   atomic.Bool
@@ -188,6 +190,7 @@
 	r.packetConn = packets
 	r.divider = divider.New(retryDelay(options))
 	quarantine, detect := quarantiner.New(), detector.New()
+	r.pool = pooler.New(deps.Dial, time.Now)
 	for _, table := range deps.Tables {
 		r.feeders = append(r.feeders, feeder.New(deps.Source, table.Name, table.BoundMillis, table.Apply, count, log))
 	}
@@ -205,7 +208,7 @@
 	rank := func() int { return slices.Index(r.sharer.Candidates(), options.Name) }
 	r.archiver = archiver.New(deps.Rows, archiveKey, state, detect, deps.StoreNow, deps.StoreEra, rank, options.WeightsPeriodMillis, count, log, time.Now)
 	r.relayer = relayer.New(relayer.Dependencies{
-		Translator: deps.Translator, Registrar: state, Pool: pooler.New(deps.Dial, time.Now), Received: deps.Received, Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
+		Translator: deps.Translator, Registrar: state, Pool: r.pool, Received: deps.Received, Quarantine: quarantine, Detector: detect, RetryRule: options.Retries,
 		DataCentre: options.DataCentre, WeightsMargin: time.Duration(options.WeightsMarginMillis) * time.Millisecond,
 		WeightsPeriod: time.Duration(options.WeightsPeriodMillis) * time.Millisecond, FollowedSince: r.feeders[0].FollowedSince,
 		AnnouncePart: r.sharer.AnnouncePart, QueryWeights: func(endpoint *monitor.Monitor) { r.roller.RefreshWeights(endpoint) }, AnnounceCrash: r.sharer.AnnounceCrash, AnnounceSuspects: r.sharer.AnnounceSuspects, AnnounceSaid: r.sharer.AnnounceSaid, AnnounceTaken: r.sharer.AnnounceTaken, AnnounceRefusing: r.sharer.AnnounceRefusing, TakePermit: r.permitter.Take, TakeRoom: r.granter.Take, EndClaim: r.granter.EndClaim, TakeTurn: r.admitter.Take, TakePlace: r.throttler.Take, EndPlace: r.throttler.End, Quotas: r.enforcer, LastUseMillis: options.LastUseMillis, Count: count, Log: log, Now: time.Now,
@@ -244,7 +247,7 @@
 		failed <- r.informer.Serve(weigher.New(r.deps.Received).Listener(tables), r.permitter.Register, r.admitter.Register, r.granter.Register, r.throttler.Register, r.enforcer.Register)
 	}()
 	go func() { failed <- r.acceptor.Serve(callers) }()
-	go func() { failed <- r.probeServer().Serve(ready) }()
+	go func() { failed <- r.probeServer().Serve(listener.New(ready, r.log)) }()
 	go func() { failed <- r.sharer.Listen() }()
 	if r.options.MetricsAddress != "" {
 		if err := r.serveMetrics(failed); err != nil {
@@ -261,6 +264,7 @@
 	go r.roller.Run(background)
 	go r.archiver.Run(background)
 	go r.relayer.WatchSilent(background)
+	go r.pool.Run(background)
 	go r.discoverPeers(background)
 	go r.informer.Run(background, r.sharer.TableSource)
 	go r.divideBudgets(background)
@@ -297,12 +301,12 @@
 
 // serveMetrics starts the metrics server, whose failure is sent to failed.
 func (r *Runner) serveMetrics(failed chan<- error) error {
-	listener, err := net.Listen("tcp", r.options.MetricsAddress)
+	opened, err := net.Listen("tcp", r.options.MetricsAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
 	server := &fasthttp.Server{Handler: r.handleOperator(exposer.New(r.registry)), NoDefaultServerHeader: true, Logger: muter.New()}
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(listener.New(opened, r.log)) }()
 	return nil
 }
 
