Take an unanswered part for the cause before an answered one that reached its limit

Each such loss counts against the document too, so it reached its five crashes before the crashing first part did, and was refused although it had been answered: TestSoundPartLostOnceMore fails before the change.

Change: if only answered parts reached their limits, an unanswered one of the prompt with three crashes is the cause.

--- a/detector/cause.go
+++ b/detector/cause.go
@@ -85,15 +85,24 @@
 	return parts[best].Part
 }
 
-// likeliest returns the index of the likeliest cause among the parts that reached their
-// limits, of several the deepest, or -1 if none did.
+// likeliest returns the index of the likeliest cause among the parts that may be refused, of
+// several the deepest, or -1 if there is none. Those are the parts that reached their limits,
+// and if only answered ones did, the others that crashed often enough for one that is not the
+// first: requests for answered parts are also lost with the endpoints that the cause crashes.
 func likeliest(parts []Suspect) int {
 	cause := -1
+	consider := func(i int, reached bool) {
+		if reached && (cause < 0 || compareCause(parts[i], parts[cause]) >= 0) {
+			cause = i
+		}
+	}
 	for i, part := range parts {
 		limit, _ := part.limits(i)
-		reached := part.Blocked() || part.Level >= limit
-		if reached && (cause < 0 || compareCause(part, parts[cause]) >= 0) {
-			cause = i
+		consider(i, part.Blocked() || part.Level >= limit)
+	}
+	if cause >= 0 && parts[cause].Answers > 0 {
+		for i, part := range parts {
+			consider(i, part.Answers == 0 && part.Level >= crashLimit)
 		}
 	}
 	return cause
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -28,7 +28,10 @@
 	soundFrom  time.Duration
 	// otherCrashes is the probability that an endpoint ends for another reason.
 	otherCrashes float64
-	instances    int
+	// bystanders is the probability that a sound prompt is lost with an endpoint that the
+	// bad part crashes.
+	bystanders float64
+	instances  int
 }
 
 // setPrompts sets prompts with a number of documents, and the bad part at an index.
@@ -68,7 +71,7 @@
 	for ; f.at.Before(now.Add(period)); f.at = f.at.Add(tick) {
 		instance := f.detectors[int(draw()*float64(len(f.detectors)))]
 		if f.at.After(now.Add(badAfter)) && draw() < f.traffic.badRate {
-			f.sendBad(instance, pick(f.traffic.bad))
+			f.sendBad(instance, pick(f.traffic.bad), pick(f.traffic.sound), draw() < f.traffic.bystanders)
 		}
 		if !f.at.Before(now.Add(f.traffic.soundFrom)) && draw() < f.traffic.soundRate {
 			f.sendSound(instance, pick(f.traffic.sound), draw() < f.traffic.otherCrashes)
@@ -81,7 +84,7 @@
 	}
 }
 
-func (f *fleet) sendBad(instance *detector.Detector, parts []string) {
+func (f *fleet) sendBad(instance *detector.Detector, parts, bystander []string, isLost bool) {
 	if _, refused := instance.Find(prompt(parts...), 0, f.at); refused {
 		return
 	}
@@ -89,7 +92,13 @@
 	if len(f.crashes) > 5 && f.at.After(f.crashes[4].Add(contactTime)) {
 		f.late++
 	}
+	other := prompt(bystander...)
+	marks := instance.Marks(other, f.at)
+	_, refused := instance.Find(other, 0, f.at)
 	f.crash(instance, parts)
+	if isLost && !refused && !f.at.Before(now.Add(f.traffic.soundFrom)) {
+		instance.RecordCrash(detector.Crash{Request: other, Marks: marks, Endpoint: fmt.Sprint(f.losses)}, f.at)
+	}
 }
 
 func (f *fleet) sendSound(instance *detector.Detector, parts []string, crashes bool) {
@@ -127,6 +136,7 @@
 			badRate: 0.02 + 0.98*random.Float64(), soundRate: 0.02 + 0.98*random.Float64(),
 			soundFrom:    time.Duration(random.IntN(30)) * time.Second,
 			otherCrashes: []float64{0, 0.02, 0.05}[random.IntN(3)],
+			bystanders:   []float64{0, 0.3, 1}[random.IntN(3)],
 			instances:    1 + random.IntN(3),
 		}
 		load.setPrompts(1+random.IntN(3), random.IntN(3))
--- a/detector/trial.go
+++ b/detector/trial.go
@@ -1,9 +1,6 @@
 package detector
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// maxTrials bounds the endpoints that trials of a refused part may crash, and maxCrashes
@@ -12,9 +9,13 @@
 	maxCrashes = 7
 )
 
-// ambiguousDelay is how much later a prompt may be tried that has another part which may be
-// the cause as well: its crash would tell nothing new.
-const ambiguousDelay = time.Minute
+// A prompt with another part that may be the cause is tried later, since its crash tells
+// little: by ambiguousDelay if that part explains the crashes as well, and by doubtfulDelay
+// if it explains all but one.
+const (
+	ambiguousDelay = time.Minute
+	doubtfulDelay  = 5 * time.Second
+)
 
 var (
 	// doubtfulDelays are the times from a refusal to the first trial, and from each trial
@@ -47,19 +48,31 @@
 // of them, is refused. required is the oldest version of the weights that it may run with.
 func (r record) trialTime(s Suspect, prompt []Suspect, required int) time.Time {
 	isNewer := s.Weights > 0 && required > s.Weights
-	isAmbiguous := slices.ContainsFunc(prompt, func(other Suspect) bool {
-		return other.Part != s.Part && (other.Blocked() || other.mayExplain(s) || other.Part == s.Rival && r.hasRival(s))
-	})
+	delay := r.trialDelay(s, prompt)
 	switch {
 	case s.Trials >= maxTrials, s.Crashes > maxCrashes:
 		return s.Until
-	case isNewer, s.Trials == 0 && r.hasRival(s) && !isAmbiguous:
+	case isNewer, s.Trials == 0 && r.hasRival(s) && delay == 0:
 		return time.Time{}
 	case s.TrialAt.IsZero():
 		return s.Until
-	case isAmbiguous:
-		return s.TrialAt.Add(ambiguousDelay)
 	default:
-		return s.TrialAt
+		return s.TrialAt.Add(delay)
+	}
+}
+
+// trialDelay returns how much later than others a prompt of parts may be tried, since another
+// one of them may be the cause in the place of s.
+func (r record) trialDelay(s Suspect, prompt []Suspect) time.Duration {
+	delay := time.Duration(0)
+	for _, other := range prompt {
+		switch {
+		case other.Part == s.Part:
+		case other.Blocked(), other.isAsLikelyAs(s), other.Part == s.Rival && r.hasRival(s):
+			return ambiguousDelay
+		case other.mayExplain(s):
+			delay = doubtfulDelay
+		}
 	}
+	return delay
 }
--- a/detector/trial_test.go
+++ b/detector/trial_test.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// Guards against refusing an answered part that was lost once more than the crashing one.
+func TestSoundPartLostOnceMore(t *testing.T) {
+	d := detector.New()
+	d.RecordAnswer(prompt("sound", "document"), now)
+	crash(d, prompt("sound", "document"))
+	for n := range 4 {
+		assert.Equal(t, crash(d, prompt("bad", "document")), n == 3)
+	}
+	assert.Assert(t, refuses(d, "bad", "document"))
+	assert.Assert(t, isFree(d, "sound", "document"))
+}
+
 // Guards against a part that stays refused because no prompt of it was answered before those
 // with the crashing one.
 func TestSoundPartAnsweredLater(t *testing.T) {
