--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -219,3 +220,23 @@
 		IdleDeadline: func(now time.Time) time.Time { return now.Add(200 * time.Millisecond) },
 	}
 }
+
+// Guards against a part of a load report or of a page of cache events that is taken for the
+// whole.
+func TestCutReports(t *testing.T) {
+	const body = `{"incarnation":"i","running":12,"sequence":34,"events":[]}`
+	for cut := range len(body) {
+		for name, answer := range map[string]string{
+			"length":    fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut]),
+			"no length": "HTTP/1.1 200 OK\r\n\r\n" + body[:cut],
+			"chunks":    fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(body), body[:cut]),
+		} {
+			d := dialer.New(func(address string) (net.Conn, error) { return net.Dial("tcp", address) }, time.Now, allotter.New(0))
+			address := serve(t, answer, closes)
+			_, err := d.FetchLoad(address)
+			assert.Assert(t, err != nil, "%s, %d bytes of a report", name, cut)
+			_, err = d.FetchEvents(address, 0)
+			assert.Assert(t, err != nil, "%s, %d bytes of a page", name, cut)
+		}
+	}
+}
