--- a/asker/asker_test.go
+++ b/asker/asker_test.go
@@ -15,7 +15,7 @@
 type Answers struct{}
 
 // Get answers a number with a text.
-func (Answers) Get(number int, answer *string) error {
+func (Answers) Get(_ int, answer *string) error {
 	*answer = "text"
 	return nil
 }
