--- a/detector/detector.go
+++ b/detector/detector.go
@@ -120,8 +120,10 @@
 func (d *Detector) Find(request *requester.Request, required int, now time.Time) (Suspect, bool) {
 	known, marks := d.suspects.Load(), d.Marks(request, now)
 	for _, suspect := range slices.Backward(marks) {
-		trialAt := known.trialTime(suspect, marks, required)
-		if suspect.Blocked() && now.Before(trialAt) {
+		if !suspect.Blocked() {
+			continue
+		}
+		if trialAt := known.trialTime(suspect, marks, required); now.Before(trialAt) {
 			return suspect.withTrialAt(trialAt), true
 		}
 	}
