Tell the delay of unclear trials from the delays of doubtful refusals by its name

Cause: doubtfulDelay and doubtfulDelays stood beside each other with different meanings. Ruled out: one constant for both, since they are unrelated.

--- a/detector/trial.go
+++ b/detector/trial.go
@@ -9,12 +9,12 @@
 	maxCrashes = 7
 )
 
-// A prompt with another part that may be the cause is tried later, since its crash tells
-// little: by ambiguousDelay if that part explains the crashes as well, and by doubtfulDelay
-// if it explains all but one.
+// ambiguousDelay is how much later a prompt may be tried that has another part which explains
+// all crashes, and unclearDelay one with a part that explains all but one: a crash of it does
+// not tell which part is the cause.
 const (
 	ambiguousDelay = time.Minute
-	doubtfulDelay  = 5 * time.Second
+	unclearDelay   = 5 * time.Second
 )
 
 var (
@@ -71,7 +71,7 @@
 		case other.Blocked(), other.isAsLikelyAs(s), other.Part == s.Rival && r.hasRival(s):
 			return ambiguousDelay
 		case other.mayExplain(s):
-			delay = doubtfulDelay
+			delay = unclearDelay
 		}
 	}
 	return delay
