Let two tests of the detector fail again without their guards

Cause: since refused parts are tried again, an expired one is not refused either way, and a repeated part is refused after three crashes without its guard, so TestScopeAndExpiry and TestRepeatedPart passed without part-expiry and part-repeated. Ruled out: a fault of the product, both hold with the guards.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -252,8 +252,8 @@
 // Guards against a repeated part that counts as two, of which one clears the other.
 func TestRepeatedPart(t *testing.T) {
 	d := detector.New()
-	for range 5 {
-		crash(d, prompt("bad", "bad"))
+	for n := range 5 {
+		assert.Equal(t, crash(d, prompt("bad", "bad")), n == 4)
 	}
 	assert.Assert(t, refuses(d, "bad"))
 }
@@ -285,6 +285,7 @@
 	assert.Assert(t, !refuses(d, "part"))
 	_, found = d.Find(isolated(), 0, now.Add(time.Hour))
 	assert.Assert(t, !found)
+	assert.Equal(t, len(d.Probations(isolated(), 0, now.Add(time.Hour))), 0, "expired evidence asks for a turn")
 }
 
 // Guards against refusing a part that several others follow, of parts with the same
